Add parser of the statement language

Cause: operators and the version mover change the configuration by statements that are checked as a whole, with line and column of every finding.

--- /dev/null
+++ b/parser/token.go
@@ -0,0 +1,102 @@
+package parser
+
+import (
+	"errors"
+	"fmt"
+
+	"github.com/alecthomas/participle/v2/lexer"
+
+	"jujubegate.example/jujubegate"
+)
+
+// The rules end in two that match any malformed input, so that scanning never
+// stops at the first fault.
+var definition = lexer.MustSimple([]lexer.SimpleRule{
+	{Name: "Space", Pattern: `\s+`},
+	{Name: "Comment", Pattern: `#[^\n]*`},
+	{Name: "String", Pattern: `"(\\.|[^"\\\n])*"`},
+	{Name: "Ident", Pattern: `[\p{L}_][\p{L}\p{N}_-]*`},
+	{Name: "Punct", Pattern: `[{}=;.]|!=`},
+	{Name: "Time", Pattern: `\d{4}-\d\d-\d\dT\d\d:\d\d:\d\d(\.\d+)?(Z|[+-]\d\d:\d\d)`},
+	{Name: "Duration", Pattern: `(\d+(\.\d+)?(ns|us|µs|ms|s|m|h))+`},
+	{Name: "Int", Pattern: `-?\d+`},
+	{Name: "BadString", Pattern: `"[^\n]*`},
+	{Name: "Invalid", Pattern: `.`},
+})
+
+var (
+	symbols       = definition.Symbols()
+	spaceType     = symbols["Space"]
+	commentType   = symbols["Comment"]
+	identType     = symbols["Ident"]
+	badStringType = symbols["BadString"]
+	invalidType   = symbols["Invalid"]
+)
+
+// scan splits a text into tokens without white space; the last one is the
+// end of the input.
+func scan(file, text string) ([]lexer.Token, jujubegate.Findings) {
+	lex, err := definition.LexString(file, text)
+	if err != nil {
+		return nil, jujubegate.Findings{{Position: jujubegate.Position{File: file, Line: 1, Column: 1}, Message: err.Error()}}
+	}
+	var tokens []lexer.Token
+	var findings jujubegate.Findings
+	for {
+		token, err := lex.Next()
+		if err != nil {
+			findings = append(findings, errorFinding(file, err))
+			return tokens, findings
+		}
+		switch token.Type {
+		case spaceType:
+			continue
+		case badStringType:
+			findings = append(findings, finding(token.Pos, "string is not closed on its line"))
+		case invalidType:
+			findings = append(findings, finding(token.Pos, fmt.Sprintf("unexpected character %q", token.Value)))
+		}
+		tokens = append(tokens, token)
+		if token.EOF() {
+			return tokens, findings
+		}
+	}
+}
+
+// errorFinding returns an error of participle with its position.
+func errorFinding(file string, err error) jujubegate.Finding {
+	var positioned interface {
+		Message() string
+		Position() lexer.Position
+	}
+	if errors.As(err, &positioned) {
+		return finding(positioned.Position(), positioned.Message())
+	}
+	return jujubegate.Finding{Position: jujubegate.Position{File: file, Line: 1, Column: 1}, Message: err.Error()}
+}
+
+func finding(at lexer.Position, message string) jujubegate.Finding {
+	return jujubegate.Finding{Position: position(at), Message: message}
+}
+
+func position(at lexer.Position) jujubegate.Position {
+	return jujubegate.Position{File: at.Filename, Line: at.Line, Column: at.Column}
+}
+
+// slice is a lexer over tokens that were scanned before.
+type slice struct {
+	tokens []lexer.Token
+	end    lexer.Position
+}
+
+// Next returns the next token, or the end of the input.
+func (s *slice) Next() (lexer.Token, error) {
+	if len(s.tokens) == 0 {
+		return lexer.EOFToken(s.end), nil
+	}
+	token := s.tokens[0]
+	s.tokens = s.tokens[1:]
+	return token, nil
+}
+
+var _ lexer.Lexer = (*slice)(nil)
