Add Apply, change log and follower of the configuration

Cause: accepted changes must form one sequence that never reverts, also when the store loses answers or proposers race. A service adopts the version of its first target, so that targets of another version get no queries without a move.

--- a/configurator/configuration.go
+++ b/configurator/configuration.go
@@ -4,6 +4,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -20,6 +21,16 @@
 	High
 )
 
+// String returns the word of the statement language.
+func (p Priority) String() string {
+	for word, priority := range priorities {
+		if priority == p {
+			return word
+		}
+	}
+	return ""
+}
+
 // ServiceSpec is the declaration of a service.
 type ServiceSpec struct {
 	Name   jujubegate.Service
@@ -32,8 +43,8 @@
 	ColdLimit int
 	Deadline  time.Duration
 	Priority  Priority
-	// Version is the version that serves; empty until the first move is done,
-	// and then every declared target serves.
+	// Version is the version that serves, apart from a running move. It is that
+	// of the declaration, else that of the first target that was declared.
 	Version jujubegate.Version
 }
 
@@ -98,6 +109,8 @@
 	targets     map[jujubegate.Address]jujubegate.Target
 	dataCentres map[jujubegate.DataCentre]DataCentreSpec
 	moves       map[jujubegate.Service]MoveSpec
+	takenBack   map[VersionKey]string
+	serving     map[jujubegate.Service]servingTargets
 }
 
 // RouteKey identifies a route.
@@ -106,6 +119,12 @@
 	Route   jujubegate.Route
 }
 
+// VersionKey identifies a version of a service.
+type VersionKey struct {
+	Service jujubegate.Service
+	Version jujubegate.Version
+}
+
 // Generation returns the number of the last change that was applied.
 func (c Configuration) Generation() jujubegate.Generation { return c.generation }
 
@@ -172,6 +191,20 @@
 	return sorted(c.moves, func(a, b MoveSpec) int { return cmp.Compare(a.Service, b.Service) })
 }
 
+// TakenBack returns the reason why a version was taken back, and whether it
+// was. The mark stays until an operator brings the version in again.
+func (c Configuration) TakenBack(service jujubegate.Service, version jujubegate.Version) (string, bool) {
+	reason, ok := c.takenBack[VersionKey{service, version}]
+	return reason, ok
+}
+
+// takenBackKeys returns the versions that were taken back, by service.
+func (c Configuration) takenBackKeys() []VersionKey {
+	return slices.SortedFunc(maps.Keys(c.takenBack), func(a, b VersionKey) int {
+		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Version, b.Version))
+	})
+}
+
 func compareTargets(a, b jujubegate.Target) int {
 	return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Shard, b.Shard),
 		cmp.Compare(a.Address, b.Address))
--- /dev/null
+++ b/configurator/errors.go
@@ -0,0 +1,89 @@
+package configurator
+
+import (
+	"fmt"
+
+	"jujubegate.example/jujubegate"
+)
+
+// ConflictError says that another change took the generation. The proposal
+// had no effect and may be made again.
+type ConflictError struct {
+	Generation jujubegate.Generation
+	// Author is that of the change that was accepted.
+	Author string
+}
+
+// Error names the generation and the author of the accepted change.
+func (e *ConflictError) Error() string {
+	return fmt.Sprintf("generation %d was taken by a change of %s; the statements had no effect", e.Generation, e.Author)
+}
+
+// UnavailableError says that the store did not take the change, which had no
+// effect.
+type UnavailableError struct{ Cause error }
+
+// Error returns the cause.
+func (e *UnavailableError) Error() string {
+	return fmt.Sprintf("store is unavailable, the statements had no effect: %v", e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *UnavailableError) Unwrap() error { return e.Cause }
+
+// OutcomeUnknownError says that the store may have taken the change, or may
+// still take it.
+type OutcomeUnknownError struct {
+	// Generation is the one that holds the change if it was accepted.
+	Generation jujubegate.Generation
+	Token      string
+	Cause      error
+}
+
+// Error names the generation to look at.
+func (e *OutcomeUnknownError) Error() string {
+	return fmt.Sprintf("outcome is unknown: the change is in force if generation %d has the token %s: %v",
+		e.Generation, e.Token, e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *OutcomeUnknownError) Unwrap() error { return e.Cause }
+
+// GapError says that changes before an offered one are missing.
+type GapError struct {
+	Have    jujubegate.Generation
+	Offered jujubegate.Generation
+}
+
+// Error names both generations.
+func (e *GapError) Error() string {
+	return fmt.Sprintf("change %d does not follow generation %d", e.Offered, e.Have)
+}
+
+// DivergenceError is a broken invariant: two changes of one generation.
+type DivergenceError struct {
+	Generation jujubegate.Generation
+	// Known and Offered are the tokens of the two changes.
+	Known   string
+	Offered string
+}
+
+// Error names the generation and both tokens.
+func (e *DivergenceError) Error() string {
+	return fmt.Sprintf("generation %d has two changes, tokens %s and %s", e.Generation, e.Known, e.Offered)
+}
+
+// InvalidChangeError is a broken invariant: an accepted change that does not
+// apply to the generation before it.
+type InvalidChangeError struct {
+	Generation jujubegate.Generation
+	Cause      error
+}
+
+// Error names the generation and the cause.
+func (e *InvalidChangeError) Error() string {
+	return fmt.Sprintf("change %d does not apply: %v", e.Generation, e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *InvalidChangeError) Unwrap() error { return e.Cause }
--- /dev/null
+++ b/configurator/fake_test.go
@@ -0,0 +1,150 @@
+package configurator
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"jujubegate.example/jujubegate/storer"
+)
+
+// fakeStore is an object API in memory that can lose answers, fail and delay
+// writes.
+type fakeStore struct {
+	mutex    sync.Mutex
+	objects  map[string]storer.Object
+	revision int64
+	changed  chan struct{}
+	random   *rand.Rand
+
+	// The rates are from 0 to 1.
+	lostRate  float64 // the write takes effect or not, the answer is ErrUnknown
+	downRate  float64 // ErrUnavailable
+	delayRate float64 // the write takes effect after the answer ErrUnknown
+	down      bool
+	calls     int
+	late      sync.WaitGroup
+}
+
+func newFakeStore(seed uint64) *fakeStore {
+	return &fakeStore{
+		objects: make(map[string]storer.Object), changed: make(chan struct{}),
+		random: rand.New(rand.NewPCG(seed, seed)),
+	}
+}
+
+func (s *fakeStore) store() storer.Store {
+	return storer.Store{Get: s.get, Put: s.put, List: s.list, Watch: s.watch}
+}
+
+// roll reports whether an event with the rate occurs.
+func (s *fakeStore) roll(rate float64) bool { return s.random.Float64() < rate }
+
+func (s *fakeStore) get(_ context.Context, key string) (storer.Object, error) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.calls++
+	if s.down || s.roll(s.downRate) {
+		return storer.Object{}, storer.ErrUnavailable
+	}
+	o, ok := s.objects[key]
+	if !ok {
+		return storer.Object{}, storer.ErrNotFound
+	}
+	return o, nil
+}
+
+func (s *fakeStore) put(_ context.Context, key string, value []byte, version int64) (storer.Object, error) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.calls++
+	switch {
+	case s.down || s.roll(s.downRate):
+		return storer.Object{}, storer.ErrUnavailable
+	case s.roll(s.delayRate):
+		delay := time.Duration(s.random.IntN(2000)) * time.Microsecond
+		s.late.Add(1)
+		time.AfterFunc(delay, func() {
+			defer s.late.Done()
+			s.mutex.Lock()
+			defer s.mutex.Unlock()
+			_, _ = s.write(key, value, version)
+		})
+		return storer.Object{}, storer.ErrUnknown
+	case s.roll(s.lostRate):
+		if s.roll(0.5) {
+			_, _ = s.write(key, value, version)
+		}
+		return storer.Object{}, storer.ErrUnknown
+	}
+	return s.write(key, value, version)
+}
+
+// write changes an object; the mutex is held.
+func (s *fakeStore) write(key string, value []byte, version int64) (storer.Object, error) {
+	if s.objects[key].Version != version {
+		return storer.Object{}, storer.ErrConflict
+	}
+	s.revision++
+	o := storer.Object{Key: key, Version: s.revision, Value: value}
+	s.objects[key] = o
+	close(s.changed)
+	s.changed = make(chan struct{})
+	return o, nil
+}
+
+func (s *fakeStore) list(_ context.Context, prefix, after string, limit int) ([]storer.Object, error) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.calls++
+	if s.down || s.roll(s.downRate) {
+		return nil, storer.ErrUnavailable
+	}
+	objects := s.matching(func(o storer.Object) bool { return strings.HasPrefix(o.Key, prefix) && o.Key > after })
+	return objects[:min(limit, len(objects))], nil
+}
+
+// matching returns objects in key order; the mutex is held.
+func (s *fakeStore) matching(match func(storer.Object) bool) []storer.Object {
+	var objects []storer.Object
+	for _, o := range s.objects {
+		if match(o) {
+			objects = append(objects, o)
+		}
+	}
+	slices.SortFunc(objects, func(a, b storer.Object) int { return strings.Compare(a.Key, b.Key) })
+	return objects
+}
+
+func (s *fakeStore) watch(
+	ctx context.Context, prefix string, after int64, wait time.Duration,
+) ([]storer.Object, error) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		s.mutex.Lock()
+		s.calls++
+		if s.down || s.roll(s.downRate) {
+			s.mutex.Unlock()
+			return nil, storer.ErrUnavailable
+		}
+		objects := s.matching(func(o storer.Object) bool {
+			return strings.HasPrefix(o.Key, prefix) && o.Version > after
+		})
+		changed := s.changed
+		s.mutex.Unlock()
+		if len(objects) > 0 {
+			return objects, nil
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return nil, nil
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+}
--- /dev/null
+++ b/configurator/state.go
@@ -0,0 +1,88 @@
+package configurator
+
+import (
+	"maps"
+	"slices"
+
+	"jujubegate.example/jujubegate"
+	"jujubegate.example/jujubegate/parser"
+)
+
+// maxRecent is the number of changes kept for peers and for recognising the
+// token of a proposal that is sent again.
+const maxRecent = 256
+
+// state is an immutable configuration with the changes that led to it.
+type state struct {
+	configuration Configuration
+	// recent ends with the current generation and has no gaps.
+	recent []Change
+	// tokens maps the tokens of the last maxRecent changes to generations.
+	tokens map[string]jujubegate.Generation
+}
+
+// with returns the state after a change.
+func (s *state) with(change Change) (*state, error) {
+	if isSnapshotText(change.Statements) {
+		c, tokens, err := Restore(change.Statements)
+		if err != nil {
+			return s, err
+		}
+		return &state{configuration: c, tokens: tokens}, nil
+	}
+	c, err := s.configuration.With(change)
+	if err != nil {
+		return s, err
+	}
+	recent := append(slices.Clone(s.recent), change)
+	if len(recent) > maxRecent {
+		recent = recent[len(recent)-maxRecent:]
+	}
+	tokens := maps.Clone(s.tokens)
+	if tokens == nil {
+		tokens = make(map[string]jujubegate.Generation)
+	}
+	maps.DeleteFunc(tokens, func(_ string, g jujubegate.Generation) bool {
+		return g <= change.Generation-maxRecent
+	})
+	tokens[change.Token] = change.Generation
+	return &state{configuration: c, recent: recent, tokens: tokens}, nil
+}
+
+// known returns the change of a generation if it is kept.
+func (s *state) known(g jujubegate.Generation) (Change, bool) {
+	i := len(s.recent) - 1 - int(s.configuration.generation-g)
+	if i < 0 || i >= len(s.recent) {
+		return Change{}, false
+	}
+	return s.recent[i], true
+}
+
+// after returns the changes after a generation. If not all of them are kept,
+// it returns a snapshot of the whole configuration as one change.
+func (s *state) after(g jujubegate.Generation) []Change {
+	missing := int(s.configuration.generation - g)
+	switch {
+	case missing <= 0:
+		return nil
+	case missing <= len(s.recent):
+		return slices.Clone(s.recent[len(s.recent)-missing:])
+	}
+	return []Change{s.snapshot()}
+}
+
+// snapshotAuthor is the author of snapshots.
+const snapshotAuthor = "snapshot"
+
+// snapshot returns the state as a change that any follower can apply.
+func (s *state) snapshot() Change {
+	statements := s.configuration.Statements()
+	for _, token := range slices.Sorted(maps.Keys(s.tokens)) {
+		statements = append(statements, &parser.RestoreToken{
+			Token: token, Generation: parser.Given(int(s.tokens[token])),
+		})
+	}
+	return Change{
+		Generation: s.configuration.generation, Author: snapshotAuthor, Statements: parser.Join(statements),
+	}
+}
--- /dev/null
+++ b/configurator/watch.go
@@ -0,0 +1,89 @@
+package configurator
+
+import (
+	"context"
+	"errors"
+
+	"go.uber.org/zap"
+)
+
+// Run loads the configuration and then follows the store while Watcher
+// returns true, until the context ends. It returns the context's error.
+func (f *Follower) Run(ctx context.Context) error {
+	failures := 0
+	for ctx.Err() == nil {
+		var err error
+		switch {
+		case !f.loaded.Load():
+			err = f.Load(ctx)
+		case f.Watcher == nil || !f.Watcher():
+			err = f.wait.backoff(ctx, 0, idlePause, idlePause)
+		default:
+			err = f.watch(ctx)
+		}
+		if ctx.Err() != nil {
+			break
+		}
+		if err == nil {
+			failures = 0
+			continue
+		}
+		f.logger.Warn("configurator: store call failed", zap.Error(err), zap.Int("Failures", failures+1))
+		_ = f.wait.backoff(ctx, failures, watchBase, watchCap) // the loop ends with the context
+		failures++
+	}
+	return ctx.Err()
+}
+
+// watch does one long poll and writes a snapshot when one is due.
+func (f *Follower) watch(ctx context.Context) error {
+	f.mutex.Lock()
+	revision := f.revision
+	f.mutex.Unlock()
+	start := f.clock.Now()
+	page, err := f.log.Watch(ctx, revision, watchWait)
+	if err != nil {
+		return err
+	}
+	applied, err := f.advance(page.Changes, page.Revision)
+	f.announce(applied)
+	var gap *GapError
+	if errors.As(err, &gap) {
+		err = f.catchUp(ctx, f.Current().Generation())
+	}
+	if err != nil {
+		return err
+	}
+	now := f.clock.Now()
+	if len(page.Changes) == 0 {
+		// An empty answer is as new as the end of the wait, at the latest now.
+		if end := start.Add(watchWait); end.Before(now) {
+			now = end
+		}
+		f.confirm(now)
+	} else {
+		f.confirm(start)
+	}
+	if err := f.writeSnapshot(ctx); err != nil {
+		return err
+	}
+	if len(applied) == 0 && f.clock.Since(start) < idlePause {
+		return f.wait.backoff(ctx, 0, idlePause, idlePause)
+	}
+	return nil
+}
+
+// writeSnapshot stores a snapshot if one is due.
+func (f *Follower) writeSnapshot(ctx context.Context) error {
+	s := f.current.Load()
+	if int64(s.configuration.generation)/snapshotInterval <= f.stored.Load()/snapshotInterval {
+		return nil
+	}
+	g, err := f.log.WriteSnapshot(ctx, s.snapshot())
+	if err != nil {
+		return err
+	}
+	f.stored.Store(max(f.stored.Load(), int64(g)))
+	f.logger.Info("configurator: snapshot stored", zap.Int64("Generation", int64(g)))
+	return nil
+}
