--- a/storer/store.go
+++ b/storer/store.go
@@ -16,6 +16,7 @@
 	ErrConflict    = errors.New("object version differs from the expected one")
 	ErrUnavailable = errors.New("object API is unavailable, the call had no effect")
 	ErrUnknown     = errors.New("object API did not answer, the write may have taken effect")
+	ErrTooLarge    = errors.New("object is larger than the object API holds")
 )
 
 // Object is one versioned value. Versions are revisions of the whole store:
