--- /dev/null
+++ b/advertiser/advertiser.go
@@ -0,0 +1,104 @@
+// Package advertiser tells callers which addresses to use and takes a leaving
+// instance out of use.
+package advertiser
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"jujubegate.example/jujubegate"
+	"jujubegate.example/jujubegate/leaser"
+)
+
+const (
+	// MaxAddresses is the number of addresses in an answer.
+	MaxAddresses = 4
+	// ValidFor is the time for which a caller may keep an answer.
+	ValidFor = 30 * time.Second
+	// Freshness is the time since its last heartbeat after which an instance
+	// is no longer given out.
+	Freshness = 2 * time.Second
+)
+
+// Answer lists the addresses that a caller should use, best first.
+type Answer struct {
+	Addresses []string
+	ValidFor  time.Duration
+}
+
+// Advertiser answers address lookups.
+type Advertiser struct {
+	// State is the state of the membership.
+	State func() *leaser.State
+}
+
+// New returns an advertiser for the membership.
+func New(state func() *leaser.State) *Advertiser { return &Advertiser{State: state} }
+
+// Lookup returns up to MaxAddresses caller addresses of members that were heard
+// from recently and don't leave, those in the caller's data centre first. The
+// order among equals depends on the caller's hash, so that callers spread
+// evenly. The answer holds this instance's address if there is no other and
+// this instance serves.
+func (a *Advertiser) Lookup(dataCentre jujubegate.DataCentre, callerHash uint64, now time.Time) Answer {
+	s := a.State()
+	candidates := make([]candidate, 0, len(s.View.Members))
+	for _, m := range s.View.Members {
+		if !usable(s, m, now) {
+			continue
+		}
+		candidates = append(candidates, candidate{
+			address: m.CallerAddress,
+			far:     m.DataCentre != dataCentre,
+			score:   score(m.Instance, callerHash),
+		})
+	}
+	if len(candidates) == 0 && s.Serving(now) {
+		candidates = append(candidates, candidate{address: s.Self.CallerAddress})
+	}
+	slices.SortFunc(candidates, candidate.compare)
+	answer := Answer{ValidFor: ValidFor}
+	for _, c := range candidates[:min(len(candidates), MaxAddresses)] {
+		answer.Addresses = append(answer.Addresses, c.address)
+	}
+	return answer
+}
+
+// usable reports whether a member of the view may be given out.
+func usable(s *leaser.State, m leaser.Member, now time.Time) bool {
+	if m.ID() == s.Self.ID() {
+		return s.Serving(now) && !s.Self.Leaving
+	}
+	p, ok := s.Peers[m.ID()]
+	return ok && !p.Ended && !m.Leaving && !p.Member.Leaving && now.Sub(p.Heard) < Freshness
+}
+
+// candidate is a member that may be given out.
+type candidate struct {
+	address string
+	far     bool
+	score   uint64
+}
+
+func (c candidate) compare(d candidate) int {
+	if c.far != d.far {
+		if c.far {
+			return 1
+		}
+		return -1
+	}
+	return cmp.Or(cmp.Compare(d.score, c.score), cmp.Compare(c.address, d.address))
+}
+
+// score returns the rendezvous score of an instance for a caller.
+func score(instance jujubegate.Instance, callerHash uint64) uint64 {
+	h := xxhash.Sum64String(string(instance)) ^ callerHash
+	h ^= h >> 33
+	h *= 0xff51afd7ed558ccd
+	h ^= h >> 33
+	h *= 0xc4ceb9fe1a85ec53
+	return h ^ h>>33
+}
--- a/leaser/view.go
+++ b/leaser/view.go
@@ -3,6 +3,7 @@
 package leaser
 
 import (
+	"cmp"
 	"slices"
 
 	"jujubegate.example/jujubegate"
@@ -22,22 +23,36 @@
 	Leaving bool
 }
 
+// ID names one start of one instance.
+type ID struct {
+	Instance    jujubegate.Instance
+	Incarnation string
+}
+
+// ID returns the identity of the member.
+func (m Member) ID() ID { return ID{m.Instance, m.Incarnation} }
+
+// WithLeaving returns the member with the mark set.
+func (m Member) WithLeaving(leaving bool) Member {
+	m.Leaving = leaving
+	return m
+}
+
 // View is an immutable list of members at one epoch, sorted by instance.
 type View struct {
 	Epoch   jujubegate.Epoch
 	Members []Member
+	// Open lists the earlier views under which an instance may still hold a
+	// lease, oldest first. A member that owns a target under this view must
+	// wait for each open view that names another owner. The entries have no
+	// open views of their own.
+	Open []View `json:",omitempty"`
 }
 
 // Member returns the member with the name.
 func (v View) Member(instance jujubegate.Instance) (Member, bool) {
 	i, ok := slices.BinarySearchFunc(v.Members, instance, func(m Member, name jujubegate.Instance) int {
-		switch {
-		case m.Instance < name:
-			return -1
-		case m.Instance > name:
-			return 1
-		}
-		return 0
+		return cmp.Compare(m.Instance, name)
 	})
 	if !ok {
 		return Member{}, false
@@ -45,5 +60,17 @@
 	return v.Members[i], true
 }
 
+// Has reports whether this start of the instance is a member.
+func (v View) Has(id ID) bool {
+	m, ok := v.Member(id.Instance)
+	return ok && m.Incarnation == id.Incarnation
+}
+
 // Majority returns the smallest number of members that any two such groups share one of.
 func (v View) Majority() int { return len(v.Members)/2 + 1 }
+
+// withoutOpen returns the view as an entry of a later view's Open list.
+func (v View) withoutOpen() View {
+	v.Open = nil
+	return v
+}
