Add limiter, scheduler, dialer and dispatcher

Cause: targets need one owner that alone queues, limits and sends. Change: first complete API of the four packages: the limit of a target with its cold ramp and ejection, the fair deadline queue, the target protocol over net/http, and the dispatcher that joins them. The cores have no tests of their own yet.

--- /dev/null
+++ b/dispatcher/lane.go
@@ -0,0 +1,211 @@
+package dispatcher
+
+import (
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"jujubegate.example/jujubegate"
+	"jujubegate.example/jujubegate/configurator"
+	"jujubegate.example/jujubegate/dialer"
+	"jujubegate.example/jujubegate/limiter"
+	"jujubegate.example/jujubegate/scheduler"
+)
+
+// lane is one owned target: its limit, its queue and its link.
+type lane struct {
+	dispatcher *Dispatcher
+	link       Link
+
+	mu       sync.Mutex
+	target   jujubegate.Target
+	spec     configurator.ServiceSpec
+	limiter  *limiter.Limiter
+	queue    *scheduler.Queue[*task]
+	retired  bool
+	bound    int
+	wanted   int
+	snapshot []jujubegate.Snapshot
+	// idle is closed when a retired lane has no more requests in flight, or
+	// when it is revived.
+	idle chan struct{}
+
+	reported reported
+}
+
+func (d *Dispatcher) newLane(t jujubegate.Target, spec configurator.ServiceSpec, now time.Time) *lane {
+	l := &lane{dispatcher: d, target: t, spec: spec, queue: scheduler.New[*task](0)}
+	l.limiter = limiter.New(bounds(spec), now)
+	l.limiter.Violation = d.settings.Violation
+	l.limiter.Changed = l.changed
+	l.queue.Dropped = func(e scheduler.Entry[*task]) {
+		e.Payload.end(refused(jujubegate.DeadlinePassed, "the deadline can no longer be met"))
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.link = d.settings.Open(t, spec.Connections, Events{Loaded: l.loaded, Restarted: l.restarted})
+	l.adjust(now)
+	return l
+}
+
+func bounds(s configurator.ServiceSpec) limiter.Settings {
+	return limiter.Settings{Slots: s.Slots, ColdLimit: s.ColdLimit, Connections: s.Connections}
+}
+
+// changed logs a change of state; it runs under the lock.
+func (l *lane) changed(from, to jujubegate.TargetState, why string) {
+	l.dispatcher.settings.Log.Info("dispatcher: target changed",
+		zap.String("Target", string(l.target.Address)), zap.Stringer("From", from), zap.Stringer("To", to),
+		zap.String("Why", why))
+}
+
+// update replaces the declaration. A target that is another process starts cold.
+func (l *lane) update(t jujubegate.Target, spec configurator.ServiceSpec, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	replaced := l.target.Version != t.Version || l.target.Service != t.Service || l.target.Shard != t.Shard
+	l.target, l.spec = t, spec
+	l.limiter.SetSettings(bounds(spec))
+	if replaced {
+		l.limiter.Restarted(now)
+	}
+	l.pump(now)
+}
+
+// retire refuses the queue and lets the requests in flight end.
+func (l *lane) retire(now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.retired = true
+	l.queue.Clear(func(e scheduler.Entry[*task]) {
+		e.Payload.end(refused(jujubegate.NotOwner, "this instance gave up the target"))
+	})
+	if l.idle == nil {
+		l.idle = make(chan struct{})
+	}
+	l.checkIdle(now)
+}
+
+// revive takes a retired lane back. It starts cold like any added target.
+func (l *lane) revive(t jujubegate.Target, spec configurator.ServiceSpec, now time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.idle == nil {
+		return false
+	}
+	l.retired = false
+	close(l.idle)
+	l.idle = nil
+	l.target, l.spec = t, spec
+	l.limiter.SetSettings(bounds(spec))
+	l.limiter.Restarted(now)
+	l.adjust(now)
+	return true
+}
+
+// awaitIdle waits until a retired lane is idle and reports whether it still is retired.
+func (l *lane) awaitIdle() bool {
+	l.mu.Lock()
+	if l.idle == nil {
+		l.idle = make(chan struct{})
+	}
+	idle := l.idle
+	l.mu.Unlock()
+	<-idle
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.retired
+}
+
+// checkIdle ends the wait for a retired lane without requests in flight.
+func (l *lane) checkIdle(now time.Time) {
+	if l.retired && l.idle != nil && l.limiter.InFlight(now) == 0 {
+		close(l.idle)
+		l.idle = nil
+	}
+}
+
+func (l *lane) inFlight(now time.Time) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.limiter.InFlight(now)
+}
+
+// loaded takes a load report.
+func (l *lane) loaded(load dialer.Load, err error) {
+	now := l.dispatcher.settings.Clock.Now()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if err != nil {
+		l.dispatcher.settings.Log.Debug("dispatcher: no load report",
+			zap.String("Target", string(l.target.Address)), zap.Error(err))
+	} else {
+		l.snapshot = load.Snapshots
+		l.limiter.Report(load.State, now)
+	}
+	l.pump(now)
+}
+
+// restarted takes the news that the target has closed all connections.
+func (l *lane) restarted() {
+	now := l.dispatcher.settings.Clock.Now()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.limiter.Restarted(now)
+	l.pump(now)
+}
+
+// pump starts queued sub-requests while the limit allows it, and refuses the
+// queue of a target that takes none.
+func (l *lane) pump(now time.Time) {
+	for l.queue.Len() > 0 && l.limiter.Available(now) > 0 {
+		e, ok := l.queue.Pop(now, l.load(now).ServiceTime)
+		if !ok {
+			break
+		}
+		if r := l.dispatcher.permit(l.target, now); r != nil {
+			e.Payload.end(r)
+			continue
+		}
+		l.start(e.Payload, now)
+	}
+	if l.queue.Len() > 0 && l.limiter.Limit(now) == 0 {
+		r := l.closedRefusal(now)
+		l.queue.Clear(func(e scheduler.Entry[*task]) { e.Payload.end(r) })
+	}
+	l.adjust(now)
+	l.checkIdle(now)
+}
+
+// closedRefusal is the refusal of a target that takes no requests now.
+func (l *lane) closedRefusal(now time.Time) *jujubegate.Refusal {
+	if l.limiter.State(now) == jujubegate.Draining {
+		return refused(jujubegate.TargetDraining, "the target leaves")
+	}
+	return refused(jujubegate.TargetDown, "the target is ejected")
+}
+
+// adjust passes a changed connection bound to the link.
+func (l *lane) adjust(now time.Time) {
+	bound, wanted := l.limiter.ConnectionBound(), l.limiter.ConnectionsWanted(now)
+	if bound != l.bound || wanted != l.wanted {
+		l.bound, l.wanted = bound, wanted
+		l.link.SetBound(bound, wanted)
+	}
+}
+
+// load is what the queue needs to estimate a wait. An idle target has no
+// estimate: otherwise one slow spell could refuse everything, and the estimate
+// would never be corrected.
+func (l *lane) load(now time.Time) scheduler.Load {
+	load := scheduler.Load{Limit: l.limiter.Limit(now), InFlight: l.limiter.InFlight(now)}
+	if load.InFlight > 0 {
+		load.ServiceTime = l.limiter.Latency()
+	}
+	return load
+}
+
+func refused(reason jujubegate.Reason, detail string) *jujubegate.Refusal {
+	return &jujubegate.Refusal{Reason: reason, Outcome: jujubegate.NotRun, Detail: detail}
+}
--- /dev/null
+++ b/dispatcher/run.go
@@ -0,0 +1,248 @@
+package dispatcher
+
+import (
+	"context"
+	"errors"
+	"sync"
+
+	"jujubegate.example/jujubegate"
+	"jujubegate.example/jujubegate/dialer"
+)
+
+var errCancelled = errors.New("the sender cancelled the sub-request")
+
+// run is one batch in progress.
+type run struct {
+	batch jujubegate.Batch
+	tasks []task
+
+	mu      sync.Mutex
+	results []jujubegate.SubResult
+	left    int
+	// arrived signals a new result, done is closed after the last one.
+	arrived chan struct{}
+	done    chan struct{}
+	// next links the runs of one query.
+	next *run
+}
+
+// deliver takes the result of one task.
+func (r *run) deliver(result jujubegate.SubResult) {
+	r.mu.Lock()
+	r.results = append(r.results, result)
+	r.left--
+	if r.left == 0 {
+		close(r.done)
+	}
+	r.mu.Unlock()
+	select {
+	case r.arrived <- struct{}{}:
+	default:
+	}
+}
+
+// take returns the results that have arrived and whether they are the last.
+func (r *run) take() (results []jujubegate.SubResult, last bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	results, r.results = r.results, nil
+	return results, r.left == 0
+}
+
+func (r *run) withdraw(reason jujubegate.Reason, cause error, orders bool) {
+	for i := range r.tasks {
+		r.tasks[i].withdraw(reason, cause, orders)
+	}
+}
+
+// Do runs all sub-requests of a batch and delivers each result once, those of
+// one millisecond together. It returns after the last delivery; deliver is
+// not called concurrently. When the context ends, what is queued is refused
+// and what runs is cancelled, except for orders.
+func (d *Dispatcher) Do(ctx context.Context, batch jujubegate.Batch, deliver func([]jujubegate.SubResult)) {
+	if len(batch.SubRequests) == 0 {
+		return
+	}
+	d.mu.RLock()
+	if d.closing {
+		d.mu.RUnlock()
+		deliver(refuseAll(batch, refused(jujubegate.Leaving, "this instance is leaving")))
+		return
+	}
+	d.doing.Add(1)
+	d.mu.RUnlock()
+	defer d.doing.Done()
+
+	r := &run{
+		batch: batch, tasks: make([]task, len(batch.SubRequests)), left: len(batch.SubRequests),
+		arrived: make(chan struct{}, 1), done: make(chan struct{}),
+	}
+	d.mu.RLock()
+	for i, sub := range batch.SubRequests {
+		r.tasks[i] = task{run: r, sub: sub, lane: d.lanes[sub.Target]}
+	}
+	d.mu.RUnlock()
+	d.runs.add(r)
+	defer d.runs.remove(r)
+	d.place(r)
+	d.collect(ctx, r, deliver)
+}
+
+// place decides about all tasks of a run.
+func (d *Dispatcher) place(r *run) {
+	now := d.settings.Clock.Now()
+	for i := range r.tasks {
+		t := &r.tasks[i]
+		if t.lane == nil {
+			t.end(refused(jujubegate.NotOwner, "this instance does not own the target"))
+			continue
+		}
+		t.lane.place(t, now)
+	}
+}
+
+// collect delivers the results as they arrive and ends what is late.
+func (d *Dispatcher) collect(ctx context.Context, r *run, deliver func([]jujubegate.SubResult)) {
+	clock := d.settings.Clock
+	deadline := clock.After(before(r.batch.Deadline, clock.Now()))
+	cancelled := ctx.Done()
+	passed := false
+	for {
+		select {
+		case <-r.arrived:
+			select {
+			case <-clock.After(coalesceTime):
+			case <-r.done:
+			}
+			results, last := r.take()
+			if len(results) > 0 {
+				d.count(results)
+				deliver(results)
+			}
+			if last {
+				return
+			}
+		case <-deadline:
+			r.withdraw(jujubegate.DeadlinePassed, dialer.ErrDeadline, passed)
+			deadline = nil
+			if r.batch.Order && !passed {
+				passed = true
+				deadline = clock.After(orderGrace)
+			}
+		case <-cancelled:
+			r.withdraw(jujubegate.Cancelled, errCancelled, false)
+			cancelled = nil
+		}
+	}
+}
+
+func (d *Dispatcher) count(results []jujubegate.SubResult) {
+	answered, cancelled := 0, 0
+	for i := range results {
+		switch r := results[i].Refusal; {
+		case r == nil:
+			answered++
+		case r.Reason == jujubegate.Cancelled:
+			cancelled++
+		}
+	}
+	for _, c := range []struct {
+		name string
+		n    int
+	}{
+		{CountAnswered, answered},
+		{CountCancelled, cancelled},
+		{CountRefused, len(results) - answered - cancelled},
+	} {
+		if c.n > 0 {
+			d.settings.Count(c.name, int64(c.n))
+		}
+	}
+}
+
+func refuseAll(batch jujubegate.Batch, refusal *jujubegate.Refusal) []jujubegate.SubResult {
+	results := make([]jujubegate.SubResult, len(batch.SubRequests))
+	for i, sub := range batch.SubRequests {
+		results[i] = jujubegate.SubResult{
+			Shard: sub.Shard, Attempt: sub.Attempt, Target: sub.Target, Refusal: refusal,
+		}
+	}
+	return results
+}
+
+// Cancel withdraws sub-requests of a query, all of them if none are given. It
+// may be called for sub-requests that have ended.
+func (d *Dispatcher) Cancel(queryID string, subRequests []jujubegate.SubRequest) {
+	for _, r := range d.runs.find(queryID) {
+		if len(subRequests) == 0 {
+			r.withdraw(jujubegate.Cancelled, errCancelled, false)
+			continue
+		}
+		for i := range r.tasks {
+			for _, sub := range subRequests {
+				if r.tasks[i].sub == sub {
+					r.tasks[i].withdraw(jujubegate.Cancelled, errCancelled, false)
+				}
+			}
+		}
+	}
+}
+
+// runs finds the batches in progress by query.
+type runs struct {
+	mu      sync.Mutex
+	byQuery map[string]*run
+}
+
+func newRuns() runs { return runs{byQuery: make(map[string]*run)} }
+
+func (s *runs) add(r *run) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	r.next = s.byQuery[r.batch.QueryID]
+	s.byQuery[r.batch.QueryID] = r
+}
+
+func (s *runs) remove(r *run) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	id := r.batch.QueryID
+	if s.byQuery[id] == r {
+		if r.next == nil {
+			delete(s.byQuery, id)
+		} else {
+			s.byQuery[id] = r.next
+		}
+		return
+	}
+	for p := s.byQuery[id]; p != nil; p = p.next {
+		if p.next == r {
+			p.next = r.next
+			return
+		}
+	}
+}
+
+func (s *runs) find(queryID string) []*run {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var found []*run
+	for r := s.byQuery[queryID]; r != nil; r = r.next {
+		found = append(found, r)
+	}
+	return found
+}
+
+func (s *runs) cancelAll() {
+	s.mu.Lock()
+	var all []*run
+	for _, r := range s.byQuery {
+		for ; r != nil; r = r.next {
+			all = append(all, r)
+		}
+	}
+	s.mu.Unlock()
+	for _, r := range all {
+		r.withdraw(jujubegate.Cancelled, errCancelled, false)
+	}
+}
--- /dev/null
+++ b/limiter/result.go
@@ -0,0 +1,105 @@
+package limiter
+
+import "time"
+
+// Kind says how a request ended.
+type Kind uint8
+
+// Kinds of ends.
+const (
+	// Answered is an answer, also one that reports an error of the target.
+	Answered Kind = iota
+	// Refused is a typed refusal that says nothing about load.
+	Refused
+	// Shed is a refusal for load.
+	Shed
+	// Draining is a refusal because the target leaves.
+	Draining
+	// BadAnswer is an answer to another request, or garbage.
+	BadAnswer
+	// Broken is a connection that broke after the request was written.
+	Broken
+	// Unreachable is a connection that could not be opened.
+	Unreachable
+	// TimedOut is a request without an answer by its deadline.
+	TimedOut
+	// Cancelled is a request that this side no longer needs.
+	Cancelled
+	// NotSent is a request that was never written.
+	NotSent
+)
+
+// Result is the end of a request.
+type Result struct {
+	Kind Kind
+	// Latency is the time from sending to the answer.
+	Latency time.Duration
+}
+
+// learn draws the conclusions from the end of a request.
+func (l *Limiter) learn(started time.Time, r Result, now time.Time) {
+	switch r.Kind {
+	case Answered:
+		l.answered(started, r.Latency, now)
+		l.ejection.succeeded()
+	case Refused:
+		l.ejection.succeeded()
+	case Shed:
+		l.ramp.shed(now, "shed a request")
+		l.failed(now)
+	case Draining:
+		l.drain.start(now)
+	case BadAnswer:
+		l.failed(now)
+	case Broken:
+		l.ramp.shed(now, "connection broke")
+		l.failed(now)
+	case Unreachable:
+		l.Restarted(now)
+		l.failed(now)
+	case TimedOut:
+		l.ramp.sign(started, now, &l.latency)
+		l.failed(now)
+	case Cancelled:
+		if l.latency.warm != 0 && !l.latency.normal(r.Latency) {
+			l.ramp.sign(started, now, &l.latency)
+		}
+	case NotSent:
+	}
+}
+
+func (l *Limiter) answered(started time.Time, d time.Duration, now time.Time) {
+	improved := l.latency.observe(d)
+	switch {
+	case !l.latency.normal(d):
+		l.ramp.sign(started, now, &l.latency)
+	case improved && l.ramp.phase == phaseCold:
+		l.ramp.streak = 0
+	default:
+		l.ramp.grown(started, now, &l.latency)
+	}
+}
+
+// failed counts a failure towards ejection.
+func (l *Limiter) failed(now time.Time) {
+	if l.ejection.failed(now) {
+		l.ramp.turnCold(now, "recovered from ejection")
+	}
+}
+
+// probed ends a probe of an ejected target. A probe that succeeds readmits
+// the target as a cold one.
+func (l *Limiter) probed(t Ticket, k Kind, now time.Time) {
+	if !l.ejection.active || l.ejection.probing != t {
+		return
+	}
+	l.ejection.probing = Ticket{}
+	switch k {
+	case Answered, Refused:
+		l.ejection.recover()
+		l.ramp.turnCold(now, "recovered from ejection")
+	case Cancelled, NotSent, Draining:
+	default:
+		l.ejection.eject(now)
+	}
+}
