--- /dev/null
+++ b/balancer/choose.go
@@ -0,0 +1,178 @@
+package balancer
+
+import (
+	"math/bits"
+	"math/rand/v2"
+	"time"
+
+	"jujubegate.example/jujubegate"
+)
+
+// Option is one replica that may serve a shard: it is allowed by the
+// configuration, holds the snapshot, and is owned by a live instance.
+type Option struct {
+	Replica *Replica
+	// State, Load, Limit and Latency are those of the owner's report; Load is
+	// the number of requests in flight and queued.
+	State   jujubegate.TargetState
+	Load    int
+	Limit   int
+	Latency time.Duration
+	// Distance is the extra round-trip time to the target's data centre.
+	Distance time.Duration
+}
+
+// MaxOptions is the number of replicas of one shard that Choose considers.
+const MaxOptions = 64
+
+const (
+	// unknownLatency stands in for a target that neither side has measured.
+	unknownLatency = 5 * time.Millisecond
+	// maxReportedError bounds the factor by which an owner's report may differ
+	// from this root's own latency before the root's figure is used alone.
+	maxReportedError = 4
+)
+
+// Choose returns the index of the replica that is expected to answer first.
+// It compares two random candidates (power of two choices), so that roots with
+// the same stale reports don't all pick the same target. The bits of skip name
+// options that are not considered. It returns -1 if none is left.
+func Choose(now time.Time, options []Option, skip uint64, random *rand.Rand) int {
+	if len(options) > MaxOptions {
+		options = options[:MaxOptions]
+	}
+	at := now.UnixNano()
+	usable := usableSet(options) &^ skip
+	if usable == 0 {
+		return -1
+	}
+	healthy := usable &^ ejectedSet(options)
+	if probe := probeSet(at, options) & usable; probe != 0 {
+		return bits.TrailingZeros64(probe)
+	}
+	if healthy == 0 {
+		healthy = usable
+	}
+	return pick(narrow(at, options, healthy), options, random)
+}
+
+// usableSet returns the options that their owners allow.
+func usableSet(options []Option) uint64 {
+	var set uint64
+	for i := range options {
+		o := &options[i]
+		if (o.State == jujubegate.Warm || o.State == jujubegate.Cold) && o.Limit > 0 {
+			set |= 1 << i
+		}
+	}
+	return set
+}
+
+// ejectedSet returns the options that this root excludes on its own evidence:
+// at most half of a shard's replicas, those with the most failures first.
+func ejectedSet(options []Option) uint64 {
+	var set uint64
+	for i := range options {
+		if options[i].Replica.ejectedUntil.Load() != 0 {
+			set |= 1 << i
+		}
+	}
+	for set != 0 && bits.OnesCount64(set) > len(options)/2 {
+		fewest := -1
+		for i := range options {
+			if set&(1<<i) != 0 &&
+				(fewest < 0 || options[i].Replica.failures.Load() < options[fewest].Replica.failures.Load()) {
+				fewest = i
+			}
+		}
+		set &^= 1 << fewest
+	}
+	return set
+}
+
+// probeSet returns the ejected options whose pause is over and that have no
+// probe outstanding.
+func probeSet(at int64, options []Option) uint64 {
+	var set uint64
+	for i := range options {
+		r := options[i].Replica
+		if until := r.ejectedUntil.Load(); until != 0 && until <= at && !r.probing.Load() {
+			set |= 1 << i
+		}
+	}
+	return set
+}
+
+// narrow drops options that have no capacity now, as long as others have: cold
+// targets at their limit and targets that refused a moment ago. The remaining
+// choice is between queues, which the owners keep within the limits.
+func narrow(at int64, options []Option, set uint64) uint64 {
+	var free uint64
+	for i := range options {
+		o := &options[i]
+		full := o.State == jujubegate.Cold && o.load() >= o.Limit
+		if set&(1<<i) != 0 && !full && o.Replica.refusedUntil.Load() <= at {
+			free |= 1 << i
+		}
+	}
+	if free == 0 {
+		return set
+	}
+	return free
+}
+
+func pick(set uint64, options []Option, random *rand.Rand) int {
+	n := bits.OnesCount64(set)
+	if n == 1 {
+		return bits.TrailingZeros64(set)
+	}
+	draw := random.Uint64()
+	first := uint32(draw) % uint32(n)
+	second := uint32(draw>>32) % uint32(n-1)
+	if second >= first {
+		second++
+	}
+	a, b := nth(set, first), nth(set, second)
+	if options[b].expected() < options[a].expected() {
+		return b
+	}
+	return a
+}
+
+func nth(set uint64, n uint32) int {
+	for ; n > 0; n-- {
+		set &= set - 1
+	}
+	return bits.TrailingZeros64(set)
+}
+
+// load returns the number of requests at the target: the owner's report, but
+// at least what this root has there itself, since the report may be stale.
+func (o *Option) load() int { return max(o.Load, o.Replica.Outstanding()) }
+
+// expected returns the time to an answer: the queue that exceeds the limit,
+// the service itself, and the distance.
+func (o *Option) expected() time.Duration {
+	latency := o.latency()
+	wait := time.Duration(0)
+	if waiting := o.load() + 1 - o.Limit; waiting > 0 {
+		wait = latency * time.Duration(waiting) / time.Duration(o.Limit)
+	}
+	// A target with fewer requests in its slots is preferred among equals.
+	busy := latency * time.Duration(min(o.load(), o.Limit)) / time.Duration(8*o.Limit)
+	return wait + latency + busy + o.Distance
+}
+
+// latency returns the owner's figure unless this root's own one contradicts it.
+func (o *Option) latency() time.Duration {
+	own := o.Replica.Latency()
+	switch {
+	case own == 0 && o.Latency <= 0:
+		return unknownLatency
+	case own == 0:
+		return o.Latency
+	case o.Latency <= 0 || o.Latency > maxReportedError*own || own > maxReportedError*o.Latency:
+		return own
+	}
+	return (own + o.Latency) / 2
+}
--- /dev/null
+++ b/hedger/latency.go
@@ -0,0 +1,134 @@
+package hedger
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"jujubegate.example/jujubegate"
+)
+
+const (
+	// hedgeQuantile is the share of sub-requests, in percent, that end before
+	// a hedge is due. The others are 3%, below the budget of 5%.
+	hedgeQuantile = 97.0
+	// window is the age at which samples are dropped: a histogram serves as
+	// the current one for this time, and then as the previous one.
+	window = 5 * time.Second
+	// refreshEvery is the number of samples between two computations of the delay.
+	refreshEvery = 512
+	// minSamples is the number of samples below which the delay is not learned.
+	minSamples = 50
+	minDelay   = time.Millisecond
+	// defaultDelay is the delay before minSamples are known.
+	defaultDelay  = 30 * time.Millisecond
+	maxLatency    = time.Minute
+	latencyDigits = 2
+)
+
+// RouteLatency learns the hedge delay of one route. It is safe for concurrent use.
+type RouteLatency struct {
+	delay   atomic.Int64
+	typical atomic.Int64
+
+	mu       sync.Mutex
+	current  *hdrhistogram.Histogram
+	previous *hdrhistogram.Histogram
+	// since is the start of the current window.
+	since   time.Time
+	pending int
+}
+
+// NewRouteLatency returns a latency without samples.
+func NewRouteLatency() *RouteLatency {
+	l := &RouteLatency{current: newHistogram(), previous: newHistogram()}
+	l.delay.Store(int64(defaultDelay))
+	return l
+}
+
+func newHistogram() *hdrhistogram.Histogram {
+	return hdrhistogram.New(1, maxLatency.Microseconds(), latencyDigits)
+}
+
+// Delay returns the time after which a sub-request without a result is hedged.
+func (l *RouteLatency) Delay() time.Duration { return time.Duration(l.delay.Load()) }
+
+// Typical returns the median time of a sub-request; 0 if it is unknown.
+func (l *RouteLatency) Typical() time.Duration { return time.Duration(l.typical.Load()) }
+
+// Observe notes the times of sub-requests. A cancelled one counts with its age,
+// since leaving out stragglers would make the delay shrink with each hedge.
+func (l *RouteLatency) Observe(now time.Time, took ...time.Duration) {
+	if len(took) == 0 {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if now.Sub(l.since) >= window {
+		l.current, l.previous = l.previous, l.current
+		l.current.Reset()
+		if now.Sub(l.since) >= 2*window {
+			l.previous.Reset()
+		}
+		l.since = now
+	}
+	for _, d := range took {
+		_ = l.current.RecordValue(min(max(d, 1), maxLatency).Microseconds())
+	}
+	l.pending += len(took)
+	if l.pending >= refreshEvery || l.current.TotalCount() < refreshEvery {
+		l.pending = 0
+		l.refresh()
+	}
+}
+
+// refresh takes the larger quantile of the two windows, so that a delay rises
+// at once and falls only after a window.
+func (l *RouteLatency) refresh() {
+	var delay, typical time.Duration
+	for _, h := range [...]*hdrhistogram.Histogram{l.current, l.previous} {
+		if h.TotalCount() >= minSamples {
+			delay = max(delay, time.Duration(h.ValueAtQuantile(hedgeQuantile))*time.Microsecond)
+			typical = max(typical, time.Duration(h.ValueAtQuantile(50))*time.Microsecond)
+		}
+	}
+	if delay > 0 {
+		l.delay.Store(int64(max(delay, minDelay)))
+		l.typical.Store(int64(typical))
+	}
+}
+
+// Hedger keeps the latency of each route and the budget of this root.
+type Hedger struct {
+	Budget
+
+	mu     sync.Mutex
+	routes map[routeKey]*RouteLatency
+}
+
+type routeKey struct {
+	service jujubegate.Service
+	route   jujubegate.Route
+}
+
+// New returns a hedger without samples and with a small budget.
+func New() *Hedger {
+	h := &Hedger{routes: make(map[routeKey]*RouteLatency)}
+	h.tokens.Store(initialTokens)
+	return h
+}
+
+// Route returns the latency of a route, and creates it on the first call.
+func (h *Hedger) Route(service jujubegate.Service, route jujubegate.Route) *RouteLatency {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	k := routeKey{service, route}
+	l, ok := h.routes[k]
+	if !ok {
+		l = NewRouteLatency()
+		h.routes[k] = l
+	}
+	return l
+}
--- /dev/null
+++ b/querier/handle.go
@@ -0,0 +1,302 @@
+package querier
+
+import (
+	"fmt"
+	"time"
+
+	"jujubegate.example/jujubegate"
+	"jujubegate.example/jujubegate/admitter"
+	"jujubegate.example/jujubegate/balancer"
+	"jujubegate.example/jujubegate/hedger"
+	"jujubegate.example/jujubegate/merger"
+)
+
+// handle applies one event.
+func (r *run) handle(now time.Time, e *event) {
+	for i := range e.results {
+		r.result(now, e.stream, &e.results[i])
+	}
+	if !e.ended {
+		return
+	}
+	detail := "stream ended without a result"
+	if e.err != nil {
+		detail = fmt.Sprintf("stream broke: %v", e.err)
+	}
+	for _, sub := range r.streams[e.stream] {
+		if a := &r.shards[sub.Shard].attempts[sub.Attempt-1]; !a.ended {
+			r.end(now, sub.Shard, a, balancer.Failed)
+			r.failed(now, sub.Shard, a, &jujubegate.Refusal{
+				Reason: jujubegate.TargetDown, Outcome: jujubegate.Unknown, Detail: detail,
+			})
+		}
+	}
+}
+
+// find returns the attempt that a result belongs to.
+func (r *run) find(stream int, result *jujubegate.SubResult) *attempt {
+	if result.Shard < 0 || result.Shard >= len(r.shards) {
+		return nil
+	}
+	attempts := r.shards[result.Shard].attempts
+	if result.Attempt < 1 || result.Attempt > len(attempts) || attempts[result.Attempt-1].stream != stream {
+		return nil
+	}
+	return &attempts[result.Attempt-1]
+}
+
+func (r *run) result(now time.Time, stream int, result *jujubegate.SubResult) {
+	id := r.id
+	a := r.find(stream, result)
+	if a != nil && result.Attempt <= r.shards[result.Shard].base {
+		r.merger.Drop(merger.Late)
+		return
+	}
+	if a == nil {
+		// A result that the stream was not asked for is another query's.
+		id = ""
+	}
+	if result.Refusal != nil {
+		if r.merger.Settle(id, result) == merger.Accepted && !a.ended {
+			r.end(now, result.Shard, a, endOf(result.Refusal))
+			r.failed(now, result.Shard, a, result.Refusal)
+		}
+		return
+	}
+	verdict, err := r.merger.Add(id, result)
+	if a == nil || a.ended {
+		return
+	}
+	switch verdict {
+	case merger.Accepted:
+		r.end(now, result.Shard, a, balancer.Answered)
+		r.didRun = true
+		r.close(now, result.Shard)
+	case merger.Late:
+		r.end(now, result.Shard, a, balancer.Answered)
+	case merger.OtherSnapshot:
+		r.end(now, result.Shard, a, balancer.Failed)
+		r.failed(now, result.Shard, a, &jujubegate.Refusal{
+			Reason: jujubegate.BadAnswer, Outcome: jujubegate.Ran,
+			Detail: fmt.Sprintf("shard %d answered from snapshot %d instead of %d", result.Shard, result.Snapshot, r.snapshot),
+		})
+	case merger.Bad:
+		r.end(now, result.Shard, a, balancer.Failed)
+		r.failed(now, result.Shard, a, &jujubegate.Refusal{
+			Reason: jujubegate.BadAnswer, Outcome: jujubegate.Ran, Detail: err.Error(),
+		})
+	}
+}
+
+// endOf says what a refusal tells about its target.
+func endOf(refusal *jujubegate.Refusal) balancer.End {
+	switch refusal.Reason {
+	case jujubegate.TargetDown, jujubegate.TargetError, jujubegate.BadAnswer:
+		return balancer.Failed
+	case jujubegate.Overloaded, jujubegate.Shed, jujubegate.TargetDraining, jujubegate.NotOwner,
+		jujubegate.OutOfService:
+		return balancer.Refused
+	}
+	return balancer.Abandoned
+}
+
+// end settles an attempt.
+func (r *run) end(now time.Time, shard int, a *attempt, end balancer.End) {
+	a.ended = true
+	took := now.Sub(a.sentAt)
+	r.shards[shard].outstanding--
+	r.service.shards[shard][a.candidate].replica.Done(now, end, took)
+	if end == balancer.Answered {
+		r.samples = append(r.samples, took)
+	}
+}
+
+// close ends an answered shard and cancels its other attempts.
+func (r *run) close(now time.Time, shard int) {
+	s := &r.shards[shard]
+	if !s.closed {
+		s.closed = true
+		r.pending--
+	}
+	r.abandon(now, shard)
+}
+
+// abandon cancels the outstanding attempts of a shard.
+func (r *run) abandon(now time.Time, shard int) {
+	s := &r.shards[shard]
+	for i := range s.attempts {
+		a := &s.attempts[i]
+		if a.ended {
+			continue
+		}
+		r.end(now, shard, a, balancer.Abandoned)
+		r.samples = append(r.samples, now.Sub(a.sentAt))
+		r.mayHaveRun = true
+		r.cancels = append(r.cancels, cancellation{shard: shard, attempt: i + 1})
+	}
+}
+
+// failed decides what follows an attempt that ended without a usable result.
+func (r *run) failed(now time.Time, shard int, a *attempt, refusal *jujubegate.Refusal) {
+	switch refusal.Outcome {
+	case jujubegate.Ran:
+		r.didRun = true
+	case jujubegate.Unknown:
+		r.mayHaveRun = true
+	}
+	if hedger.ShowsOverload(refusal) {
+		r.q.Hedger.Refused(now)
+		r.congested = true
+	}
+	s := &r.shards[shard]
+	if s.closed {
+		return
+	}
+	if a.hedge {
+		s.hedgeFailed = true
+	}
+	if refusal.Reason == jujubegate.SnapshotNotHeld {
+		s.lost = true
+	}
+	if s.outstanding > 0 {
+		return
+	}
+	if r.retry(now, shard, refusal) {
+		return
+	}
+	r.giveUp(shard, refusal)
+}
+
+func (r *run) retry(now time.Time, shard int, refusal *jujubegate.Refusal) bool {
+	s := &r.shards[shard]
+	if len(s.attempts)-s.base >= maxAttempts ||
+		hedger.Retry(refusal, r.route.spec.Idempotent, false, r.left(now), r.least()) == hedger.GiveUp {
+		return false
+	}
+	r.refresh(shard)
+	if !r.hasUntried(shard) {
+		return false
+	}
+	if !r.q.Hedger.Take(now) {
+		r.q.Counters.NoBudget.Add(1)
+		return false
+	}
+	if !r.try(now, shard, false) {
+		return false
+	}
+	r.retries++
+	r.q.Counters.Retries.Add(1)
+	return true
+}
+
+// giveUp ends a shard without an answer.
+func (r *run) giveUp(shard int, refusal *jujubegate.Refusal) {
+	r.shards[shard].closed = true
+	r.pending--
+	if r.lastCause == nil || (hedger.ShowsOverload(refusal) && !hedger.ShowsOverload(r.lastCause)) {
+		r.lastCause = refusal
+	}
+}
+
+// rerun starts the query again on a newer snapshot, at most once, if a shard
+// was given up because its targets no longer hold the current one.
+func (r *run) rerun(now time.Time) {
+	if r.reruns > 0 || r.left(now) <= 2*r.least() || !r.anyLost() {
+		return
+	}
+	for shard := range r.shards {
+		r.refresh(shard)
+	}
+	choice, ok := r.newest(r.snapshot)
+	if !ok || !choice.Complete || !r.q.Hedger.Borrow(now, len(r.shards)) {
+		return
+	}
+	r.reruns++
+	r.q.Counters.Reruns.Add(1)
+	r.countDropped()
+	for shard := range r.shards {
+		r.abandon(now, shard)
+		s := &r.shards[shard]
+		s.base, s.tried, s.hedges = len(s.attempts), 0, 0
+		s.hedgeFailed, s.closed, s.lost = false, false, false
+	}
+	r.flushCancels()
+	r.pending = len(r.shards)
+	r.lastCause, r.sends = nil, r.sends[:0]
+	r.snapshot = choice.Snapshot
+	r.merger.Reset(r.id, r.snapshot, len(r.shards))
+	r.sendFirst(now)
+}
+
+func (r *run) anyLost() bool {
+	for i := range r.shards {
+		if s := &r.shards[i]; s.lost && s.closed && r.merger.Open(i) {
+			return true
+		}
+	}
+	return false
+}
+
+// endOutstanding settles what is still outstanding at the end of the query.
+func (r *run) endOutstanding(now time.Time) {
+	for shard := range r.shards {
+		r.abandon(now, shard)
+	}
+	r.observe(now)
+	r.flushCancels()
+}
+
+// finish returns the answer, or the refusal that the cause or the shards give.
+func (r *run) finish(cause *jujubegate.Refusal) (Answer, *jujubegate.Refusal) {
+	answer := Answer{
+		QueryID: r.id, Version: r.versions.only, Snapshot: r.snapshot, Of: len(r.shards),
+		Hedges: r.hedges, Retries: r.retries, Reruns: r.reruns, Dropped: r.dropped,
+		Took: r.q.Clock.Now().Sub(r.started),
+	}
+	merged, err := r.merger.Merge()
+	if err != nil {
+		r.q.Violation("P2", err.Error())
+		return answer, r.refusal(&jujubegate.Refusal{Reason: jujubegate.BadAnswer, Detail: err.Error()})
+	}
+	answer.Coverage, answer.Rows, answer.Shards = merged.Coverage, merged.Rows, merged.Shards
+	whole := merged.Coverage.Whole()
+	if merged.Shards == len(r.shards) && whole {
+		r.load = admitter.Good
+		return answer, nil
+	}
+	if r.congested || (cause != nil && cause.Reason == jujubegate.DeadlinePassed) {
+		r.load = admitter.Congested
+	}
+	switch {
+	case whole:
+		// A subset of the shards covers all keys: a range must be wrong.
+		return answer, r.refusal(&jujubegate.Refusal{
+			Reason: jujubegate.BadAnswer, Detail: fmt.Sprintf("%d of %d shards cover all keys", merged.Shards, len(r.shards)),
+		})
+	case cause != nil && cause.Reason == jujubegate.Cancelled:
+		return answer, r.refusal(cause)
+	case r.request.AllowPartial && merged.Shards > 0:
+		return answer, nil
+	case cause != nil:
+		return answer, r.refusal(cause)
+	case r.lastCause != nil:
+		return answer, r.refusal(r.lastCause)
+	}
+	return answer, r.refusal(&jujubegate.Refusal{
+		Reason: jujubegate.NoCoverage, Detail: fmt.Sprintf("key ranges %v are missing", merged.Coverage.Missing()),
+	})
+}
+
+// refusal returns the cause with the outcome of the whole query.
+func (r *run) refusal(cause *jujubegate.Refusal) *jujubegate.Refusal {
+	refusal := *cause
+	switch {
+	case r.didRun:
+		refusal.Outcome = jujubegate.Ran
+	case r.mayHaveRun:
+		refusal.Outcome = jujubegate.Unknown
+	default:
+		refusal.Outcome = jujubegate.NotRun
+	}
+	return &refusal
+}
--- /dev/null
+++ b/querier/plan.go
@@ -0,0 +1,126 @@
+package querier
+
+import (
+	"slices"
+	"time"
+
+	"jujubegate.example/jujubegate"
+	"jujubegate.example/jujubegate/balancer"
+	"jujubegate.example/jujubegate/configurator"
+	"jujubegate.example/jujubegate/hedger"
+)
+
+// topology is the part of configurator.Configuration that a plan is built from.
+type topology interface {
+	Generation() jujubegate.Generation
+	Services() []configurator.ServiceSpec
+	Routes() []configurator.RouteSpec
+	Targets() []jujubegate.Target
+	DataCentreOut(jujubegate.DataCentre) bool
+	Move(jujubegate.Service) (configurator.MoveSpec, bool)
+}
+
+// plan is one generation of the configuration, arranged for queries.
+type plan struct {
+	generation jujubegate.Generation
+	services   map[jujubegate.Service]*servicePlan
+}
+
+type servicePlan struct {
+	generation jujubegate.Generation
+	spec       configurator.ServiceSpec
+	routes     map[jujubegate.Route]*routePlan
+	move       configurator.MoveSpec
+	moved      bool
+	shards     [][]candidate
+	// offsets is the index of a shard's first candidate among all; it has one
+	// element more than there are shards.
+	offsets []int
+}
+
+type routePlan struct {
+	spec    configurator.RouteSpec
+	latency *hedger.RouteLatency
+}
+
+// candidate is a declared target in a data centre that is in service.
+type candidate struct {
+	address  jujubegate.Address
+	version  jujubegate.Version
+	replica  *balancer.Replica
+	distance time.Duration
+}
+
+// currentPlan returns the plan of the configuration in force. It is built once
+// per generation, since generations never revert.
+func (q *Querier) currentPlan() *plan {
+	c := q.topology()
+	p := q.plan.Load()
+	if p != nil && p.generation == c.Generation() {
+		return p
+	}
+	q.building.Lock()
+	defer q.building.Unlock()
+	if p = q.plan.Load(); p != nil && p.generation >= c.Generation() {
+		return p
+	}
+	p = q.buildPlan(c)
+	q.plan.Store(p)
+	return p
+}
+
+func (q *Querier) buildPlan(c topology) *plan {
+	p := &plan{generation: c.Generation(), services: make(map[jujubegate.Service]*servicePlan)}
+	for _, spec := range c.Services() {
+		s := &servicePlan{
+			generation: p.generation, spec: spec, routes: make(map[jujubegate.Route]*routePlan),
+			shards: make([][]candidate, spec.Shards), offsets: make([]int, spec.Shards+1),
+		}
+		s.move, s.moved = c.Move(spec.Name)
+		p.services[spec.Name] = s
+	}
+	for _, r := range c.Routes() {
+		if s, ok := p.services[r.Service]; ok {
+			s.routes[r.Name] = &routePlan{spec: r, latency: q.Hedger.Route(r.Service, r.Name)}
+		}
+	}
+	kept := make(map[jujubegate.Address]struct{})
+	for _, t := range c.Targets() {
+		kept[t.Address] = struct{}{}
+		s, ok := p.services[t.Service]
+		if !ok || t.Shard < 0 || t.Shard >= len(s.shards) || c.DataCentreOut(t.DataCentre) ||
+			len(s.shards[t.Shard]) == balancer.MaxOptions {
+			continue
+		}
+		s.shards[t.Shard] = append(s.shards[t.Shard], candidate{
+			address: t.Address, version: t.Version, replica: q.Balancer.Replica(t.Address),
+			distance: q.distance(t.DataCentre),
+		})
+	}
+	for _, s := range p.services {
+		for i := range s.shards {
+			s.offsets[i+1] = s.offsets[i] + len(s.shards[i])
+		}
+	}
+	q.Balancer.Keep(func(a jujubegate.Address) bool {
+		_, ok := kept[a]
+		return ok
+	})
+	return p
+}
+
+func (q *Querier) distance(to jujubegate.DataCentre) time.Duration {
+	if to == q.DataCentre {
+		return 0
+	}
+	return otherDataCentre
+}
+
+// has reports whether the target may still serve the shard.
+func (p *plan) has(service jujubegate.Service, shard int, address jujubegate.Address) bool {
+	s, ok := p.services[service]
+	if !ok || shard >= len(s.shards) {
+		return false
+	}
+	return slices.ContainsFunc(s.shards[shard], func(c candidate) bool { return c.address == address })
+}
--- /dev/null
+++ b/querier/querier.go
@@ -0,0 +1,204 @@
+// Package querier runs one query from its admission to the merged answer.
+package querier
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/google/uuid"
+	"go.uber.org/zap"
+
+	"jujubegate.example/jujubegate"
+	"jujubegate.example/jujubegate/admitter"
+	"jujubegate.example/jujubegate/balancer"
+	"jujubegate.example/jujubegate/configurator"
+	"jujubegate.example/jujubegate/hedger"
+	"jujubegate.example/jujubegate/leaser"
+)
+
+const (
+	// otherDataCentre is the extra round-trip time to another data centre: 0.5
+	// ms one way.
+	otherDataCentre = time.Millisecond
+	// retryNoCoverage is the time after which targets may be known again: an
+	// owner's reports arrive with the heartbeats, twice a second.
+	retryNoCoverage = time.Second
+	// retryIsolated is the lease period.
+	retryIsolated = 3 * time.Second
+	// defaultTimeout holds for services without a deadline.
+	defaultTimeout = time.Second
+)
+
+// Request is one query of a caller.
+type Request struct {
+	Service jujubegate.Service
+	Route   jujubegate.Route
+	Caller  jujubegate.Caller
+	Body    []byte
+	// Timeout shortens the deadline of the service; 0 means that deadline.
+	Timeout time.Duration
+	// AllowPartial accepts an answer that lacks shards.
+	AllowPartial bool
+}
+
+// Answer is the merged answer of a query.
+type Answer struct {
+	QueryID  string
+	Version  jujubegate.Version
+	Snapshot jujubegate.Snapshot
+	Coverage jujubegate.Coverage
+	// Rows is a JSON array with the rows of all shards in shard order.
+	Rows []byte
+	// Shards is the number of shards in the answer, of Of shards in all.
+	Shards int
+	Of     int
+	// Hedges, Retries and Reruns count the extra work for this query.
+	Hedges  int
+	Retries int
+	Reruns  int
+	// Dropped is the number of results that were not used.
+	Dropped int
+	Took    time.Duration
+}
+
+// Dispatch sends the batch to its owner and delivers results and reports from
+// one goroutine until all have arrived. It keeps no reference to delivered
+// slices. An error means that the stream broke: sub-requests without a result
+// may have run.
+type Dispatch func(ctx context.Context, owner leaser.Member, batch jujubegate.Batch,
+	deliver func([]jujubegate.SubResult, []jujubegate.TargetReport)) error
+
+// Querier runs queries. The function fields are set before the first query.
+type Querier struct {
+	// Configuration returns the configuration in force.
+	Configuration func() configurator.Configuration
+	// Serving reports whether this instance may take work.
+	Serving func(now time.Time) bool
+	// Owner returns the live instance that owns a target.
+	Owner func(jujubegate.Address) (leaser.Member, bool)
+	// Reports returns the owner's latest report of a target.
+	Reports func(jujubegate.Address) (jujubegate.TargetReport, bool)
+	// Observed takes the reports that arrive with results.
+	Observed func([]jujubegate.TargetReport)
+	Dispatch Dispatch
+	// Cancel tells an owner that sub-requests are no longer needed. It must
+	// not block.
+	Cancel func(owner leaser.Member, queryID string, subRequests []jujubegate.SubRequest)
+	// Violation notes a broken invariant.
+	Violation func(name, detail string)
+	// NewID returns a unique query ID.
+	NewID func() string
+
+	DataCentre jujubegate.DataCentre
+	Clock      jujubegate.Clock
+	Log        *zap.Logger
+	Admitter   *admitter.Admitter
+	Balancer   *balancer.Balancer
+	Hedger     *hedger.Hedger
+	Counters   Counters
+
+	topology func() topology
+	plan     atomic.Pointer[plan]
+	building sync.Mutex
+	runs     sync.Pool
+	seed     atomic.Uint64
+}
+
+// New returns a querier whose function fields do nothing yet: it owns no
+// reports and serves nothing until they are set. The random source seeds those
+// of the queries and is not used afterwards.
+func New(dataCentre jujubegate.DataCentre, clock jujubegate.Clock, random *rand.Rand, log *zap.Logger) *Querier {
+	q := &Querier{
+		Configuration: func() configurator.Configuration { return configurator.Configuration{} },
+		Serving:       func(time.Time) bool { return false },
+		Owner:         func(jujubegate.Address) (leaser.Member, bool) { return leaser.Member{}, false },
+		Reports: func(jujubegate.Address) (jujubegate.TargetReport, bool) {
+			return jujubegate.TargetReport{}, false
+		},
+		Observed:  func([]jujubegate.TargetReport) {},
+		Cancel:    func(leaser.Member, string, []jujubegate.SubRequest) {},
+		Violation: func(string, string) {},
+		NewID:     uuid.NewString,
+
+		DataCentre: dataCentre, Clock: clock, Log: log,
+		Admitter: admitter.New(), Balancer: balancer.New(), Hedger: hedger.New(),
+	}
+	q.Dispatch = func(context.Context, leaser.Member, jujubegate.Batch,
+		func([]jujubegate.SubResult, []jujubegate.TargetReport),
+	) error {
+		return fmt.Errorf("no dispatch is configured")
+	}
+	q.topology = func() topology { return q.Configuration() }
+	q.seed.Store(random.Uint64())
+	stream := random.Uint64()
+	q.runs.New = func() any {
+		return &run{random: rand.New(rand.NewPCG(q.seed.Add(1), stream))}
+	}
+	return q
+}
+
+// Query runs a query to its answer or to a refusal that says whether any part
+// of it may have run.
+func (q *Querier) Query(ctx context.Context, request Request) (Answer, *jujubegate.Refusal) {
+	now := q.Clock.Now()
+	q.Counters.Queries.Add(1)
+	service, route, refusal := q.check(now, request.Service, request.Route)
+	if refusal == nil && !route.spec.Idempotent {
+		refusal = refuse(jujubegate.BadRequest, "route %s.%s is not idempotent: send it as an order", request.Service, request.Route)
+	}
+	if refusal != nil {
+		return Answer{}, q.refused(request, "", refusal)
+	}
+	ticket, refusal := q.Admitter.Admit(now, request.Service, int(service.spec.Priority), request.Caller)
+	if refusal != nil {
+		return Answer{}, q.refused(request, "", refusal)
+	}
+	r := q.runs.Get().(*run)
+	r.reset(q, service, route, request, now)
+	answer, refusal := r.execute(ctx)
+	q.Admitter.Done(q.Clock.Now(), ticket, r.load)
+	r.release()
+	q.runs.Put(r)
+	if refusal != nil {
+		return Answer{}, q.refused(request, answer.QueryID, refusal)
+	}
+	if !answer.Coverage.Whole() {
+		q.Counters.Partial.Add(1)
+	}
+	return answer, nil
+}
+
+// check finds the route, and refuses if this instance can't take the request.
+func (q *Querier) check(now time.Time, service jujubegate.Service, route jujubegate.Route) (*servicePlan, *routePlan, *jujubegate.Refusal) {
+	if !q.Serving(now) {
+		r := refuse(jujubegate.Isolated, "instance has no serving lease: use another one")
+		r.RetryAfter = retryIsolated
+		return nil, nil, r
+	}
+	s, ok := q.currentPlan().services[service]
+	if !ok {
+		return nil, nil, refuse(jujubegate.UnknownService, "service %q is not declared", service)
+	}
+	rt, ok := s.routes[route]
+	if !ok {
+		return nil, nil, refuse(jujubegate.UnknownRoute, "route %q of service %s is not declared", route, service)
+	}
+	return s, rt, nil
+}
+
+func (q *Querier) refused(request Request, id string, refusal *jujubegate.Refusal) *jujubegate.Refusal {
+	q.Counters.Refused.Add(1)
+	q.Log.Info("querier: refused", zap.String("service", string(request.Service)), zap.String("query", id),
+		zap.String("reason", string(refusal.Reason)), zap.Stringer("outcome", refusal.Outcome),
+		zap.String("detail", refusal.Detail))
+	return refusal
+}
+
+// refuse returns a refusal of a request that did not run.
+func refuse(reason jujubegate.Reason, format string, args ...any) *jujubegate.Refusal {
+	return &jujubegate.Refusal{Reason: reason, Outcome: jujubegate.NotRun, Detail: fmt.Sprintf(format, args...)}
+}
