--- a/parser/grammar.go
+++ b/parser/grammar.go
@@ -62,6 +62,12 @@
 	assignmentParser = participle.MustBuild[assignment](participle.Lexer(definition), participle.UseLookahead(2))
 )
 
+// Forms of the parts of a statement, for findings.
+const (
+	headForm  = "a statement begins like Declare Service Name or Show Targets Where Service = Name And Shard != 1"
+	fieldForm = "a field has the form Name = Value;"
+)
+
 // syntax is a statement before its words and fields are checked.
 type syntax struct {
 	head        *head
@@ -86,7 +92,7 @@
 	s := syntax{complete: true}
 	h, err := read(headParser, p.head, p.headEnd)
 	if err != nil {
-		findings = append(findings, errorFinding(p.headEnd.Filename, err))
+		findings = append(findings, syntaxFindings(p.headEnd.Filename, err, headForm)...)
 		s.complete = false
 	} else {
 		s.head = h
@@ -94,7 +100,7 @@
 	for _, f := range p.fields {
 		a, err := read(assignmentParser, f.tokens, f.end)
 		if err != nil {
-			findings = append(findings, errorFinding(f.end.Filename, err))
+			findings = append(findings, syntaxFindings(f.end.Filename, err, fieldForm)...)
 			s.complete = false
 			continue
 		}
--- a/parser/parse.go
+++ b/parser/parse.go
@@ -77,6 +77,9 @@
 	var statements []Statement
 	for !s.peek().EOF() && len(findings)+len(s.findings) < MaxFindings {
 		p, sound := s.statement()
+		if p.empty() {
+			continue
+		}
 		tree, faults := p.read()
 		findings = append(findings, faults...)
 		if tree.head == nil {
--- a/parser/show.go
+++ b/parser/show.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"strconv"
 	"strings"
 
 	"jujubegate.example/jujubegate"
@@ -75,12 +76,15 @@
 	return b.String()
 }
 
-// formatValue returns a value as an identifier if it is one, else in quotes.
+// formatValue returns a value as a bare literal if it is one, else in quotes.
 func formatValue(value string) string {
-	if identPattern.MatchString(value) {
-		return value
+	if tokens, findings := scan("", value); len(findings) == 0 && len(tokens) == 2 {
+		switch tokens[0].Type {
+		case identType, intType, durationType, timeType:
+			return value
+		}
 	}
-	return fmt.Sprintf("%q", value)
+	return strconv.Quote(value)
 }
 
 // conditions checks the conditions of a Show statement.
--- a/parser/split.go
+++ b/parser/split.go
@@ -15,6 +15,9 @@
 	block bool
 }
 
+// empty reports whether there is no statement, as between two semicolons.
+func (p part) empty() bool { return len(p.head) == 0 && !p.block }
+
 // field is the tokens of one assignment without its semicolon.
 type field struct {
 	tokens []lexer.Token
@@ -54,6 +57,13 @@
 // statement returns the next statement and whether its punctuation is sound.
 func (s *splitter) statement() (part, bool) {
 	var p part
+	for s.is("}") {
+		s.report(`no block is open for this "}"`)
+		s.next()
+		if s.is(";") {
+			s.next()
+		}
+	}
 	for !s.peek().EOF() && !s.is(";") && !s.is("{") && !s.is("}") {
 		if len(p.head) > 0 && s.startsStatement() {
 			break
@@ -67,6 +77,9 @@
 		p.block = true
 		sound = s.fields(&p)
 	}
+	if p.empty() && s.peek().EOF() {
+		return p, false
+	}
 	if !s.is(";") {
 		if sound {
 			s.report(`statement does not end in ";"`)
--- a/parser/token.go
+++ b/parser/token.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 
+	"github.com/alecthomas/participle/v2"
 	"github.com/alecthomas/participle/v2/lexer"
 
 	"jujubegate.example/jujubegate"
@@ -29,6 +30,9 @@
 	spaceType     = symbols["Space"]
 	commentType   = symbols["Comment"]
 	identType     = symbols["Ident"]
+	intType       = symbols["Int"]
+	durationType  = symbols["Duration"]
+	timeType      = symbols["Time"]
 	badStringType = symbols["BadString"]
 	invalidType   = symbols["Invalid"]
 )
@@ -56,6 +60,9 @@
 		case invalidType:
 			findings = append(findings, finding(token.Pos, fmt.Sprintf("unexpected character %q", token.Value)))
 		}
+		if len(findings) >= MaxFindings {
+			return append(tokens, lexer.EOFToken(token.Pos)), findings
+		}
 		tokens = append(tokens, token)
 		if token.EOF() {
 			return tokens, findings
@@ -65,14 +72,29 @@
 
 // errorFinding returns an error of participle with its position.
 func errorFinding(file string, err error) jujubegate.Finding {
-	var positioned interface {
-		Message() string
-		Position() lexer.Position
+	var positioned participle.Error
+	if !errors.As(err, &positioned) {
+		return jujubegate.Finding{Position: jujubegate.Position{File: file, Line: 1, Column: 1}, Message: err.Error()}
+	}
+	return finding(positioned.Position(), positioned.Message())
+}
+
+// syntaxFindings is errorFinding for an unexpected token, with a message that
+// says what the place takes instead of a part of the grammar. It returns none
+// for a malformed token, which scan has reported.
+func syntaxFindings(file string, err error, wanted string) jujubegate.Findings {
+	var unexpected *participle.UnexpectedTokenError
+	if !errors.As(err, &unexpected) {
+		return jujubegate.Findings{errorFinding(file, err)}
 	}
-	if errors.As(err, &positioned) {
-		return finding(positioned.Position(), positioned.Message())
+	token := unexpected.Unexpected
+	switch {
+	case token.Type == badStringType || token.Type == invalidType:
+		return nil
+	case token.EOF():
+		return jujubegate.Findings{finding(token.Pos, "unexpected end; "+wanted)}
 	}
-	return jujubegate.Finding{Position: jujubegate.Position{File: file, Line: 1, Column: 1}, Message: err.Error()}
+	return jujubegate.Findings{finding(token.Pos, fmt.Sprintf("unexpected %s; %s", token.Value, wanted))}
 }
 
 func finding(at lexer.Position, message string) jujubegate.Finding {
