--- /dev/null
+++ b/recorder/metric.go
@@ -0,0 +1,80 @@
+package recorder
+
+import (
+	"bytes"
+	"fmt"
+)
+
+// Kind is the kind of a metric.
+type Kind string
+
+// Kinds of metrics.
+const (
+	KindCounter   Kind = "counter"
+	KindGauge     Kind = "gauge"
+	KindHistogram Kind = "histogram"
+)
+
+// Metric declares the name, the unit and the meaning of a metric.
+type Metric struct {
+	Name string
+	Kind Kind
+	// Unit is that of the value; empty means a plain number.
+	Unit string
+	Help string
+}
+
+// Metrics of an instance. Histograms are published as Count, P50, P90, P99,
+// P999 and Max.
+var (
+	Queries            = Metric{"Queries", KindCounter, "queries", "queries received from callers"}
+	QueriesComplete    = Metric{"QueriesComplete", KindCounter, "queries", "queries answered with full coverage"}
+	QueriesPartial     = Metric{"QueriesPartial", KindCounter, "queries", "queries answered with missing key ranges"}
+	QueriesRefused     = Metric{"QueriesRefused", KindCounter, "queries", "queries refused with a reason"}
+	QueriesInFlight    = Metric{"QueriesInFlight", KindGauge, "queries", "queries that this instance is the root of"}
+	QueryLatency       = Metric{"QueryLatency", KindHistogram, "µs", "time from the arrival of a query to its answer"}
+	SubRequests        = Metric{"SubRequests", KindCounter, "sub-requests", "first tries of shards"}
+	SubRequestsHedged  = Metric{"SubRequestsHedged", KindCounter, "sub-requests", "second tries of late shards"}
+	SubRequestsRetried = Metric{"SubRequestsRetried", KindCounter, "sub-requests", "tries after a refusal or failure"}
+	SubRequestsRefused = Metric{"SubRequestsRefused", KindCounter, "sub-requests", "sub-requests that targets or owners refused"}
+	AnswersDropped     = Metric{"AnswersDropped", KindCounter, "answers", "answers that were late, foreign or malformed"}
+	TargetLatency      = Metric{"TargetLatency", KindHistogram, "µs", "time from sending a sub-request to the target's answer"}
+	QueueLatency       = Metric{"QueueLatency", KindHistogram, "µs", "time that a sub-request waits for a slot"}
+	TargetsOwned       = Metric{"TargetsOwned", KindGauge, "targets", "targets that this instance owns"}
+	TargetConnections  = Metric{"TargetConnections", KindGauge, "connections", "open connections to owned targets"}
+	Orders             = Metric{"Orders", KindCounter, "orders", "orders received from callers"}
+	OrdersUnknown      = Metric{"OrdersUnknown", KindCounter, "orders", "orders whose outcome is unknown"}
+	Generation         = Metric{"Generation", KindGauge, "generation", "generation of the configuration in force"}
+	Epoch              = Metric{"Epoch", KindGauge, "epoch", "epoch of the membership view in force"}
+	Serving            = Metric{"Serving", KindGauge, "", "1 if the serving lease is valid, else 0"}
+	StoreCalls         = Metric{"StoreCalls", KindCounter, "calls", "calls to the object API"}
+	StoreFailures      = Metric{"StoreFailures", KindCounter, "calls", "calls to the object API that were unavailable or unknown"}
+	StoreLatency       = Metric{"StoreLatency", KindHistogram, "µs", "time of a call to the object API other than a watch"}
+	PeerMessages       = Metric{"PeerMessages", KindCounter, "messages", "messages sent to other instances"}
+	PeerBytes          = Metric{"PeerBytes", KindCounter, "bytes", "bytes of control messages sent to other instances"}
+)
+
+// Metrics lists all metrics of an instance.
+var Metrics = []Metric{
+	Queries, QueriesComplete, QueriesPartial, QueriesRefused, QueriesInFlight, QueryLatency,
+	SubRequests, SubRequestsHedged, SubRequestsRetried, SubRequestsRefused, AnswersDropped,
+	TargetLatency, QueueLatency, TargetsOwned, TargetConnections, Orders, OrdersUnknown,
+	Generation, Epoch, Serving, StoreCalls, StoreFailures, StoreLatency, PeerMessages, PeerBytes,
+}
+
+// Page returns the reference page of the metrics in Markdown.
+func Page() []byte {
+	var b bytes.Buffer
+	b.WriteString("# Metrics\n\nGenerated from `recorder/metric.go`; do not edit.\n\n")
+	fmt.Fprintf(&b, "Published by expvar at `/debug/vars` under `%s`. ", MapName)
+	b.WriteString("Histograms hold `Count`, `P50`, `P90`, `P99`, `P999` and `Max` since the start of the process; latencies are in microseconds.\n\n")
+	b.WriteString("| name | kind | unit | meaning |\n| --- | --- | --- | --- |\n")
+	for _, m := range Metrics {
+		fmt.Fprintf(&b, "| `%s` | %s | %s | %s |\n", m.Name, m.Kind, m.Unit, m.Help)
+	}
+	b.WriteString("\n## Violated invariants\n\nEach is a counter that stays 0 unless an invariant is violated.\n\n")
+	for _, i := range Invariants {
+		fmt.Fprintf(&b, "- `Violations.%s`\n", i)
+	}
+	return b.Bytes()
+}
