Add settings of the entry daemon

Cause: operators need all problems of a settings file at once. Change: loader walks the TOML syntax tree by one table of definitions, which also generates docs/settings.md, and reports findings with line and column. The walk uses go-toml's package unstable, since decoding into a struct stops at the first wrong type.

--- /dev/null
+++ b/loader/settings.go
@@ -0,0 +1,94 @@
+// Package loader reads the settings of the entry daemon from TOML and reports
+// all findings together, with file, line and column.
+package loader
+
+import (
+	"os"
+	"time"
+
+	"github.com/samber/oops"
+	"jujubegate.example/jujubegate"
+)
+
+// Settings are the settings of one instance. The meaning, range and default of
+// each are in the table that docs/settings.md is generated from.
+type Settings struct {
+	Instance      jujubegate.Instance
+	DataCentre    jujubegate.DataCentre
+	PeerAddress   string
+	CallerAddress string
+	FatalChecks   bool
+	Store         Store
+	Peers         Peers
+	Lease         Lease
+	Limits        Limits
+	Lookup        Lookup
+	Log           Log
+}
+
+// Store are the settings of the object API's client.
+type Store struct {
+	Addresses      []string
+	Timeout        time.Duration
+	CallsPerSecond float64
+}
+
+// Peers are the settings of the first contact with other instances.
+type Peers struct {
+	Seeds []string
+}
+
+// Lease are the times of membership and the serving lease.
+type Lease struct {
+	Heartbeat time.Duration
+	Suspect   time.Duration
+	Duration  time.Duration
+}
+
+// Limits bound what one request, and all requests together, may take.
+type Limits struct {
+	MaxBodyBytes       int
+	MaxRows            int
+	MaxQueriesInFlight int
+}
+
+// Lookup are the settings of the address lookup for callers.
+type Lookup struct {
+	ValidFor time.Duration
+}
+
+// Log are the settings of the log.
+type Log struct {
+	Level string
+}
+
+// Load reads the file. The error is jujubegate.Findings unless the file can't
+// be read.
+func Load(path string) (Settings, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return Settings{}, oops.In("loader").Wrap(err)
+	}
+	return Parse(path, data)
+}
+
+// Parse reads the settings from TOML. File is the name in the findings. The
+// error is jujubegate.Findings.
+func Parse(file string, data []byte) (Settings, error) {
+	var s Settings
+	for _, d := range table {
+		if d.def != nil {
+			d.assign(&s, d.def)
+		}
+	}
+	r := &reader{file: file, settings: &s, values: map[string]jujubegate.Position{}, sections: map[string]jujubegate.Position{}}
+	r.read(data)
+	r.missing()
+	if len(r.findings) == 0 {
+		r.together()
+	}
+	if len(r.findings) > 0 {
+		return Settings{}, r.sorted().Err()
+	}
+	return s, nil
+}
