--- a/recorder/recorder_test.go
+++ b/recorder/recorder_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"flag"
+	"net/http"
 	"net/http/httptest"
 	"os"
 	"sync"
@@ -53,7 +54,7 @@
 		}
 		wg.Wait()
 		w := httptest.NewRecorder()
-		r.ServeHTTP(w, httptest.NewRequest("GET", "/debug/vars", nil))
+		r.ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/debug/vars", nil))
 		var vars struct {
 			Jujubegate struct {
 				Queries, Epoch, Serving int64
