--- a/balancer/choose.go
+++ b/balancer/choose.go
@@ -33,10 +33,12 @@
 	maxReportedError = 4
 )
 
-// Choose returns the index of the replica that is expected to answer first.
-// It compares two random candidates (power of two choices), so that roots with
-// the same stale reports don't all pick the same target. The bits of skip name
-// options that are not considered. It returns -1 if none is left.
+// Choose returns the index of the replica that a sub-request goes to; Begin must
+// follow. It draws two candidates (power of two choices) and prefers the one
+// that is expected to answer first, but not always: with two replicas per shard
+// and reports that are half a second old, all roots would otherwise pick the
+// same target. The bits of skip name options that are not considered. It
+// returns -1 if none is left.
 func Choose(now time.Time, options []Option, skip uint64, random *rand.Rand) int {
 	if len(options) > MaxOptions {
 		options = options[:MaxOptions]
@@ -47,13 +49,13 @@
 		return -1
 	}
 	healthy := usable &^ ejectedSet(options)
-	if probe := probeSet(at, options) & usable; probe != 0 {
-		return bits.TrailingZeros64(probe)
+	if i := probe(at, options, usable); i >= 0 {
+		return i
 	}
 	if healthy == 0 {
 		healthy = usable
 	}
-	return pick(narrow(at, options, healthy), options, random)
+	return pick(at, narrow(at, options, healthy), options, random)
 }
 
 // usableSet returns the options that their owners allow.
@@ -90,17 +92,17 @@
 	return set
 }
 
-// probeSet returns the ejected options whose pause is over and that have no
-// probe outstanding.
-func probeSet(at int64, options []Option) uint64 {
-	var set uint64
+// probe returns an ejected option whose pause is over, and claims its probe, or
+// returns -1. A target has one probe outstanding at a time.
+func probe(at int64, options []Option, usable uint64) int {
 	for i := range options {
 		r := options[i].Replica
-		if until := r.ejectedUntil.Load(); until != 0 && until <= at && !r.probing.Load() {
-			set |= 1 << i
+		until := r.ejectedUntil.Load()
+		if usable&(1<<i) != 0 && until != 0 && until <= at && r.probing.CompareAndSwap(false, true) {
+			return i
 		}
 	}
-	return set
+	return -1
 }
 
 // narrow drops options that have no capacity now, as long as others have: cold
@@ -121,7 +123,7 @@
 	return free
 }
 
-func pick(set uint64, options []Option, random *rand.Rand) int {
+func pick(at int64, set uint64, options []Option, random *rand.Rand) int {
 	n := bits.OnesCount64(set)
 	if n == 1 {
 		return bits.TrailingZeros64(set)
@@ -133,10 +135,19 @@
 		second++
 	}
 	a, b := nth(set, first), nth(set, second)
-	if options[b].expected() < options[a].expected() {
-		return b
+	if random.Float64() < preference(options[a].expected(at), options[b].expected(at)) {
+		return a
 	}
-	return a
+	return b
+}
+
+// preference returns the probability of the first of two candidates. The cube
+// gives one that is expected to take twice as long 1 in 9 requests, and one
+// that takes 20 times as long 1 in 8,000.
+func preference(a, b time.Duration) float64 {
+	x, y := float64(a), float64(b)
+	x, y = x*x*x, y*y*y
+	return y / (x + y)
 }
 
 func nth(set uint64, n uint32) int {
@@ -152,8 +163,8 @@
 
 // expected returns the time to an answer: the queue that exceeds the limit,
 // the service itself, and the distance.
-func (o *Option) expected() time.Duration {
-	latency := o.latency()
+func (o *Option) expected(at int64) time.Duration {
+	latency := o.latency(at)
 	wait := time.Duration(0)
 	if waiting := o.load() + 1 - o.Limit; waiting > 0 {
 		wait = latency * time.Duration(waiting) / time.Duration(o.Limit)
@@ -163,9 +174,10 @@
 	return wait + latency + busy + o.Distance
 }
 
-// latency returns the owner's figure unless this root's own one contradicts it.
-func (o *Option) latency() time.Duration {
-	own := o.Replica.Latency()
+// latency returns the mean of the owner's figure and this root's own one, or
+// the latter alone if they contradict each other.
+func (o *Option) latency(at int64) time.Duration {
+	own := o.Replica.ownLatency(at)
 	switch {
 	case own == 0 && o.Latency <= 0:
 		return unknownLatency
--- a/balancer/replica.go
+++ b/balancer/replica.go
@@ -17,6 +17,8 @@
 	// latency is the smoothed time from dispatch to result, in nanoseconds; 0
 	// before the first result.
 	latency atomic.Int64
+	// observedAt is the time of the last latency sample in Unix nanoseconds.
+	observedAt atomic.Int64
 	// failures counts refusals in a row that speak against the target.
 	failures atomic.Int32
 	// ejectedUntil is the time in Unix nanoseconds until which the target gets
@@ -65,27 +67,22 @@
 	failuresToEject = 5
 	minEjection     = time.Second
 	maxEjection     = 30 * time.Second
+	latencyHalfLife = 2 * time.Second
 	// refusalPause is how long a target that lacked capacity is avoided while
 	// another replica is available.
 	refusalPause = 50 * time.Millisecond
 )
 
 // Begin notes that a sub-request is sent.
-func (r *Replica) Begin(now time.Time) {
-	r.outstanding.Add(1)
-	if until := r.ejectedUntil.Load(); until != 0 && until <= now.UnixNano() {
-		r.probing.Store(true)
-	}
-}
+func (r *Replica) Begin() { r.outstanding.Add(1) }
 
 // Done notes the end of a sub-request that took the time from its dispatch.
 func (r *Replica) Done(now time.Time, end End, took time.Duration) {
 	r.outstanding.Add(-1)
 	switch end {
 	case Answered:
-		r.observe(took)
-		r.failures.Store(0)
-		r.ejectedUntil.Store(0)
+		r.observe(now, took)
+		r.answered()
 	case Failed:
 		r.fail(now)
 	case Refused:
@@ -93,7 +90,7 @@
 	case Abandoned:
 		// A cancelled straggler took at least this long.
 		if took > r.Latency() {
-			r.observe(took)
+			r.observe(now, took)
 		}
 	}
 	r.probing.Store(false)
@@ -105,7 +102,17 @@
 	r.probing.Store(false)
 }
 
-func (r *Replica) observe(took time.Duration) {
+// answered readmits an ejected target, but one more failure ejects it again.
+func (r *Replica) answered() {
+	if r.ejectedUntil.Swap(0) != 0 {
+		r.failures.Store(failuresToEject - 1)
+		return
+	}
+	r.failures.Store(0)
+}
+
+func (r *Replica) observe(now time.Time, took time.Duration) {
+	r.observedAt.Store(now.UnixNano())
 	for {
 		old := r.latency.Load()
 		next := int64(took)
@@ -127,6 +134,16 @@
 	r.ejectedUntil.Store(now.Add(min(ejection, maxEjection)).UnixNano())
 }
 
+// ownLatency returns the smoothed latency, halved for each period without a
+// sample: a target that is avoided for its latency must be tried again.
+func (r *Replica) ownLatency(at int64) time.Duration {
+	own := r.Latency()
+	if age := at - r.observedAt.Load(); own > 0 && age > int64(latencyHalfLife) {
+		own >>= min(age/int64(latencyHalfLife), 62)
+	}
+	return own
+}
+
 // Balancer keeps the replicas by address. It is safe for concurrent use.
 type Balancer struct {
 	mu       sync.Mutex
--- a/querier/send.go
+++ b/querier/send.go
@@ -75,7 +75,7 @@
 	s.tried |= 1 << i
 	s.attempts = append(s.attempts, attempt{candidate: i, stream: notSent, sentAt: now, hedge: hedge})
 	s.outstanding++
-	candidates[i].replica.Begin(now)
+	candidates[i].replica.Begin()
 	number := len(s.attempts)
 	r.merger.Sent(jujubegate.SubRequest{Shard: shard, Target: candidates[i].address, Attempt: number})
 	r.sends = append(r.sends, send{shard: shard, attempt: number})
