Keep hedge tokens for retries and test hedger

Cause: hedges fall due for 3% of all sub-requests by definition and could spend the tokens that retries need; a rerun was refused while there was a debt, which is when all queries in flight need one. Change: hedges leave three tokens, Borrow fails only in an overload, windows with few samples are prolonged, the first window starts with its first sample. Table of retry decisions; delay compared with sorted samples, budget with a step-by-step one; concurrent bound of the extra load; benchmarks. Conclusion: extra sub-requests stay within 5% (1% in overload) plus the 25 tokens of a new root.

--- a/hedger/budget.go
+++ b/hedger/budget.go
@@ -20,6 +20,7 @@
 	initialTokens = 25 * unit
 	// maxTokensOverloaded takes saved tokens away at the start of an overload.
 	maxTokensOverloaded = 5 * unit
+	hedgeReserve        = 3 * unit
 	// overloadWindow is the period over which refusals are counted.
 	overloadWindow = time.Second
 	// overloadShare is the number of sub-requests per refusal for lack of
@@ -59,17 +60,14 @@
 	}
 }
 
-// Take spends one token, and reports whether there was one.
-func (b *Budget) Take(now time.Time) bool { return b.take(now, unit, unit) }
+// TakeHedge spends one token on a hedge, and reports whether there was one. The
+// last few tokens are kept for retries, without which a query fails.
+func (b *Budget) TakeHedge(now time.Time) bool { return b.take(now, unit+hedgeReserve) }
 
-// Borrow spends a token per sub-request, and may leave a debt that later
-// queries pay off. It is for a query that is run again as a whole, and fails
-// while there is a debt.
-func (b *Budget) Borrow(now time.Time, subRequests int) bool {
-	return b.take(now, 0, int64(subRequests)*unit)
-}
+// TakeRetry spends one token on a retry, and reports whether there was one.
+func (b *Budget) TakeRetry(now time.Time) bool { return b.take(now, unit) }
 
-func (b *Budget) take(now time.Time, needed, cost int64) bool {
+func (b *Budget) take(now time.Time, needed int64) bool {
 	overloaded := b.Overloaded(now)
 	for {
 		old := b.tokens.Load()
@@ -80,7 +78,23 @@
 		if available < needed {
 			return false
 		}
-		if b.tokens.CompareAndSwap(old, available-cost) {
+		if b.tokens.CompareAndSwap(old, available-unit) {
+			return true
+		}
+	}
+}
+
+// Borrow spends a token per sub-request of a query that is run again as a
+// whole, and fails only in an overload. It may leave a debt, which hedges and
+// retries pay off: all queries in flight need it when a snapshot is dropped.
+func (b *Budget) Borrow(now time.Time, subRequests int) bool {
+	if b.Overloaded(now) {
+		return false
+	}
+	for {
+		old := b.tokens.Load()
+		next := max(old-int64(subRequests)*unit, -maxTokens)
+		if b.tokens.CompareAndSwap(old, min(old, next)) {
 			return true
 		}
 	}
--- /dev/null
+++ b/hedger/hedger_test.go
@@ -0,0 +1,286 @@
+package hedger
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+	"go.uber.org/goleak"
+	"pgregory.net/rapid"
+
+	"jujubegate.example/jujubegate"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+var start = time.Unix(1_800_000_000, 0)
+
+func TestRetry(t *testing.T) {
+	// Guards against a second run of a request that may have run, and against
+	// retries that can't help.
+	const ms = time.Millisecond
+	type in struct {
+		reason     jujubegate.Reason
+		outcome    jujubegate.Outcome
+		idempotent bool
+		order      bool
+		left       time.Duration
+	}
+	cases := []struct {
+		name string
+		in   in
+		want Decision
+	}{
+		{"not run on any route", in{jujubegate.TargetDraining, jujubegate.NotRun, false, false, 50 * ms}, RetryElsewhere},
+		{"shed", in{jujubegate.Shed, jujubegate.NotRun, false, false, 50 * ms}, RetryElsewhere},
+		{"not the owner", in{jujubegate.NotOwner, jujubegate.NotRun, true, false, 50 * ms}, RetryElsewhere},
+		{"error on an idempotent route", in{jujubegate.TargetError, jujubegate.Ran, true, false, 50 * ms}, RetryElsewhere},
+		{"error on another route", in{jujubegate.TargetError, jujubegate.Ran, false, false, 50 * ms}, GiveUp},
+		{"unknown on an idempotent route", in{jujubegate.TargetDown, jujubegate.Unknown, true, false, 50 * ms}, RetryElsewhere},
+		{"unknown on another route", in{jujubegate.TargetDown, jujubegate.Unknown, false, false, 50 * ms}, GiveUp},
+		{"order that did not run", in{jujubegate.Shed, jujubegate.NotRun, true, true, 50 * ms}, GiveUp},
+		{"order that failed", in{jujubegate.TargetError, jujubegate.Ran, true, true, 50 * ms}, GiveUp},
+		{"no time left", in{jujubegate.Shed, jujubegate.NotRun, true, false, 0}, GiveUp},
+		{"less time than a sub-request takes", in{jujubegate.Shed, jujubegate.NotRun, true, false, 4 * ms}, GiveUp},
+		{"deadline passed", in{jujubegate.DeadlinePassed, jujubegate.NotRun, true, false, 50 * ms}, GiveUp},
+		{"cancelled", in{jujubegate.Cancelled, jujubegate.NotRun, true, false, 50 * ms}, GiveUp},
+		{"bad request", in{jujubegate.BadRequest, jujubegate.NotRun, true, false, 50 * ms}, GiveUp},
+	}
+	Convey("After a refusal", t, func() {
+		for _, c := range cases {
+			Convey(c.name, func() {
+				r := &jujubegate.Refusal{Reason: c.in.reason, Outcome: c.in.outcome}
+				So(Retry(r, c.in.idempotent, c.in.order, c.in.left, 5*ms), ShouldEqual, c.want)
+			})
+		}
+	})
+}
+
+func TestDelayMatchesSortedSamples(t *testing.T) {
+	// Guards against a delay that is far from the quantile of the samples.
+	rapid.Check(t, func(t *rapid.T) {
+		l := NewRouteLatency()
+		n := rapid.IntRange(0, 2000).Draw(t, "samples")
+		seed := rapid.Uint64().Draw(t, "seed")
+		random := rand.New(rand.NewPCG(seed, 1))
+		samples := make([]time.Duration, n)
+		for i := range samples {
+			samples[i] = time.Duration(2000+random.ExpFloat64()*20_000) * time.Microsecond
+		}
+		for chunk := range slices.Chunk(samples, 20) {
+			l.Observe(start, chunk...)
+		}
+		l.refresh()
+		if n < minSamples {
+			if l.Delay() != defaultDelay {
+				t.Fatalf("delay %v after %d samples", l.Delay(), n)
+			}
+			return
+		}
+		slices.Sort(samples)
+		// The histogram keeps two digits: 1% and one rank of difference.
+		rank := int(float64(n) * hedgeQuantile / 100)
+		low, high := samples[max(rank-1, 0)], samples[min(rank+1, n-1)]
+		if got := l.Delay(); got < low*98/100 || got > high*102/100 {
+			t.Fatalf("delay %v, want between %v and %v", got, low, high)
+		}
+	})
+}
+
+func TestDelayFollowsLatency(t *testing.T) {
+	// Guards against a delay that keeps hedging every sub-request after the
+	// latency rose, or none after it fell.
+	Convey("A learned delay", t, func() {
+		l := NewRouteLatency()
+		observe := func(from time.Time, took time.Duration) {
+			for i := range 60 {
+				for range 10 {
+					l.Observe(from.Add(time.Duration(i)*100*time.Millisecond), took)
+				}
+			}
+		}
+		observe(start, 10*time.Millisecond)
+		So(l.Delay(), ShouldAlmostEqual, 10*time.Millisecond, float64(time.Millisecond))
+		So(l.Typical(), ShouldAlmostEqual, 10*time.Millisecond, float64(time.Millisecond))
+		Convey("rises within a window", func() {
+			observe(start.Add(6*time.Second), 40*time.Millisecond)
+			So(l.Delay(), ShouldAlmostEqual, 40*time.Millisecond, float64(time.Millisecond))
+		})
+		Convey("falls after two windows", func() {
+			observe(start.Add(6*time.Second), 2*time.Millisecond)
+			observe(start.Add(12*time.Second), 2*time.Millisecond)
+			So(l.Delay(), ShouldAlmostEqual, 2*time.Millisecond, float64(time.Millisecond))
+		})
+		Convey("is at least the minimum", func() {
+			observe(start.Add(6*time.Second), time.Microsecond)
+			observe(start.Add(12*time.Second), time.Microsecond)
+			So(l.Delay(), ShouldEqual, minDelay)
+		})
+	})
+}
+
+// naiveBudget keeps tokens as a fraction, one step at a time.
+type naiveBudget struct {
+	tokens          float64
+	sent, refused   int
+	windowEnd       time.Time
+	overloadedUntil time.Time
+}
+
+func (n *naiveBudget) roll(now time.Time) {
+	if !now.Before(n.windowEnd) {
+		n.windowEnd, n.sent, n.refused = now.Add(overloadWindow), 0, 0
+	}
+}
+
+func (n *naiveBudget) clip(now time.Time) {
+	if now.Before(n.overloadedUntil) {
+		n.tokens = min(n.tokens, 5)
+	}
+}
+
+func (n *naiveBudget) send(now time.Time, subRequests int) {
+	n.roll(now)
+	for range subRequests {
+		n.sent++
+		if now.Before(n.overloadedUntil) {
+			n.tokens += 0.01
+		} else {
+			n.tokens += 0.05
+		}
+	}
+	n.tokens = min(n.tokens, 220)
+	n.clip(now)
+}
+
+func (n *naiveBudget) take(now time.Time, needed float64) bool {
+	tokens := n.tokens
+	if now.Before(n.overloadedUntil) {
+		tokens = min(tokens, 5)
+	}
+	if tokens < needed-1e-6 {
+		return false
+	}
+	n.tokens = tokens - 1
+	return true
+}
+
+func (n *naiveBudget) refuse(now time.Time) {
+	n.roll(now)
+	n.refused++
+	if n.refused >= 5 && float64(n.refused) >= float64(n.sent)/50 {
+		n.overloadedUntil = now.Add(2 * time.Second)
+	}
+}
+
+func TestBudgetMatchesNaive(t *testing.T) {
+	// Guards against extra load beyond 5%, or beyond 1% in an overload.
+	rapid.Check(t, func(t *rapid.T) {
+		b := &New().Budget
+		n := &naiveBudget{tokens: 25}
+		now := start
+		for range rapid.IntRange(1, 200).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 400).Draw(t, "pause")) * time.Millisecond)
+			switch rapid.IntRange(0, 4).Draw(t, "step") {
+			case 0:
+				count := rapid.SampledFrom([]int{1, 20, 1100}).Draw(t, "sent")
+				b.Sent(now, count)
+				n.send(now, count)
+			case 1:
+				if got, want := b.TakeRetry(now), n.take(now, 1); got != want {
+					t.Fatalf("retry %v, want %v with %v tokens", got, want, n.tokens)
+				}
+			case 2:
+				if got, want := b.TakeHedge(now), n.take(now, 4); got != want {
+					t.Fatalf("hedge %v, want %v with %v tokens", got, want, n.tokens)
+				}
+			case 3:
+				b.Refused(now)
+				n.refuse(now)
+			case 4:
+				count := rapid.SampledFrom([]int{20, 1100}).Draw(t, "again")
+				want := !now.Before(n.overloadedUntil)
+				if want {
+					n.tokens = min(n.tokens, max(n.tokens-float64(count), -220))
+				}
+				if b.Borrow(now, count) != want {
+					t.Fatalf("borrow %v, want %v", !want, want)
+				}
+			}
+		}
+	})
+}
+
+func TestExtraLoadIsBounded(t *testing.T) {
+	// Guards against more extra sub-requests than the budget when every one is
+	// hedged and retried, from several goroutines.
+	cases := []struct {
+		name       string
+		overloaded bool
+		share      float64
+		saved      int64
+	}{
+		{"normal load", false, 0.05, initialTokens / unit},
+		{"overload", true, 0.01, initialTokens / unit},
+	}
+	Convey("Extra sub-requests under", t, func() {
+		for _, c := range cases {
+			Convey(c.name, func() {
+				b := &New().Budget
+				var extra, sent atomic.Int64
+				var group sync.WaitGroup
+				for range 4 {
+					group.Go(func() {
+						for range 5000 {
+							b.Sent(start, 20)
+							sent.Add(20)
+							for range 5 {
+								if c.overloaded {
+									b.Refused(start)
+								}
+								if b.TakeHedge(start) || b.TakeRetry(start) {
+									extra.Add(1)
+								}
+							}
+						}
+					})
+				}
+				group.Wait()
+				limit := int64(c.share*float64(sent.Load())) + c.saved
+				So(extra.Load(), ShouldBeLessThanOrEqualTo, limit)
+				So(extra.Load(), ShouldBeGreaterThan, limit*9/10)
+			})
+		}
+	})
+}
+
+func BenchmarkObserve(b *testing.B) {
+	for _, fanOut := range []int{20, 30, 1100} {
+		b.Run(fmt.Sprintf("FanOut=%d", fanOut), func(b *testing.B) {
+			l := New().Route("Repairs", "Search")
+			samples := make([]time.Duration, fanOut)
+			for i := range samples {
+				samples[i] = time.Duration(i+1) * 100 * time.Microsecond
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				l.Observe(start, samples...)
+			}
+			b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N*fanOut), "ns/result")
+		})
+	}
+}
+
+func BenchmarkBudget(b *testing.B) {
+	budget := &New().Budget
+	b.ReportAllocs()
+	for b.Loop() {
+		budget.Sent(start, 20)
+		budget.TakeHedge(start)
+	}
+}
--- a/hedger/latency.go
+++ b/hedger/latency.go
@@ -14,10 +14,12 @@
 	// hedgeQuantile is the share of sub-requests, in percent, that end before
 	// a hedge is due. The others are 3%, below the budget of 5%.
 	hedgeQuantile = 97.0
-	// window is the age at which samples are dropped: a histogram serves as
-	// the current one for this time, and then as the previous one.
+	// window is the least time for which a histogram is the current one; for as
+	// long again it is the previous one. A window without enough samples is
+	// prolonged.
 	window = 5 * time.Second
-	// refreshEvery is the number of samples between two computations of the delay.
+	// refreshEvery is the number of samples between two computations of the
+	// delay, which read the whole histogram. The first ones follow sooner.
 	refreshEvery = 512
 	// minSamples is the number of samples below which the delay is not learned.
 	minSamples = 50
@@ -66,19 +68,19 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if now.Sub(l.since) >= window {
+	if l.since.IsZero() {
+		l.since = now
+	}
+	if now.Sub(l.since) >= window && l.current.TotalCount() >= minSamples {
 		l.current, l.previous = l.previous, l.current
 		l.current.Reset()
-		if now.Sub(l.since) >= 2*window {
-			l.previous.Reset()
-		}
 		l.since = now
 	}
 	for _, d := range took {
 		_ = l.current.RecordValue(min(max(d, 1), maxLatency).Microseconds())
 	}
 	l.pending += len(took)
-	if l.pending >= refreshEvery || l.current.TotalCount() < refreshEvery {
+	if int64(l.pending) >= min(refreshEvery, max(minSamples, l.current.TotalCount()/2)) {
 		l.pending = 0
 		l.refresh()
 	}
--- a/querier/handle.go
+++ b/querier/handle.go
@@ -177,7 +177,7 @@
 	if !r.hasUntried(shard) {
 		return false
 	}
-	if !r.q.Hedger.Take(now) {
+	if !r.q.Hedger.TakeRetry(now) {
 		r.q.Counters.NoBudget.Add(1)
 		return false
 	}
--- a/querier/send.go
+++ b/querier/send.go
@@ -196,7 +196,7 @@
 		if !r.hasUntried(d.shard) {
 			continue
 		}
-		if !r.q.Hedger.Take(now) {
+		if !r.q.Hedger.TakeHedge(now) {
 			r.q.Counters.NoBudget.Add(1)
 			r.dues = append(r.dues, due{shard: d.shard, attempt: d.attempt, at: now.Add(r.hedgeDelay)})
 			continue
