--- a/querier/send.go
+++ b/querier/send.go
@@ -75,7 +75,7 @@
 	s.tried |= 1 << i
 	s.attempts = append(s.attempts, attempt{candidate: i, stream: notSent, sentAt: now, hedge: hedge})
 	s.outstanding++
-	candidates[i].replica.Begin(now)
+	candidates[i].replica.Begin()
 	number := len(s.attempts)
 	r.merger.Sent(jujubegate.SubRequest{Shard: shard, Target: candidates[i].address, Attempt: number})
 	r.sends = append(r.sends, send{shard: shard, attempt: number})
@@ -196,7 +196,7 @@
 		if !r.hasUntried(d.shard) {
 			continue
 		}
-		if !r.q.Hedger.Take(now) {
+		if !r.q.Hedger.TakeHedge(now) {
 			r.q.Counters.NoBudget.Add(1)
 			r.dues = append(r.dues, due{shard: d.shard, attempt: d.attempt, at: now.Add(r.hedgeDelay)})
 			continue
