--- /dev/null
+++ b/storer/memory_test.go
@@ -0,0 +1,79 @@
+package storer_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	. "github.com/smartystreets/goconvey/convey"
+	"jujubegate.example/jujubegate/storer"
+)
+
+func TestMemoryFaults(t *testing.T) {
+	// Guards against injected faults that don't happen: tests built on them
+	// would pass without testing anything.
+	ctx := context.Background()
+	cases := []struct {
+		name    string
+		faults  storer.Faults
+		write   error
+		read    error
+		applied bool
+	}{
+		{"none", storer.Faults{}, nil, storer.ErrNotFound, true},
+		{"outage", storer.Faults{Outage: true}, storer.ErrUnavailable, storer.ErrUnavailable, false},
+		{"hang", storer.Faults{Hang: true}, storer.ErrUnknown, storer.ErrUnavailable, false},
+		{"lost answers", storer.Faults{LostAnswers: 1}, storer.ErrUnknown, storer.ErrNotFound, true},
+		{"lost requests", storer.Faults{LostRequests: 1}, storer.ErrUnknown, storer.ErrNotFound, false},
+		{"late writes", storer.Faults{LateWrites: 1, LateBy: 5 * time.Millisecond}, storer.ErrUnknown, storer.ErrNotFound, true},
+		{"latency beyond the time-out", storer.Faults{Latency: 40 * time.Millisecond}, storer.ErrUnknown, storer.ErrUnavailable, true},
+	}
+	Convey("A memory store with faults", t, func() {
+		for _, c := range cases {
+			Convey(c.name, func() {
+				m := storer.NewMemory(clockwork.NewRealClock(), 1)
+				m.SetFaults(c.faults)
+				short, cancel := context.WithTimeout(ctx, 20*time.Millisecond)
+				defer cancel()
+				_, err := m.Get(short, "other")
+				So(onlyIs(err), ShouldEqual, c.read)
+				short, cancel = context.WithTimeout(ctx, 20*time.Millisecond)
+				defer cancel()
+				_, err = m.Put(short, "k", []byte("v"), 0)
+				So(onlyIs(err), ShouldEqual, c.write)
+				time.Sleep(50 * time.Millisecond)
+				m.SetFaults(storer.Faults{})
+				So(m.Revision() > 0, ShouldEqual, c.applied)
+				So(m.Calls(), ShouldResemble, storer.Calls{Gets: 1, Puts: 1})
+			})
+		}
+		Convey("a watch that waits out a hang returns the changes before it", func() {
+			m := storer.NewMemory(clockwork.NewRealClock(), 1)
+			stop := make(chan struct{})
+			go func() {
+				defer close(stop)
+				time.Sleep(10 * time.Millisecond)
+				// The late write and the hang fall into one wake-up of the watch.
+				m.SetFaults(storer.Faults{LateWrites: 1, LateBy: 1})
+				_, _ = m.Put(ctx, "k", []byte("v"), 0)
+				m.SetFaults(storer.Faults{Hang: true})
+				time.Sleep(10 * time.Millisecond)
+				m.SetFaults(storer.Faults{})
+			}()
+			seen, err := m.Watch(ctx, "", 0, time.Second)
+			<-stop
+			So(err, ShouldBeNil)
+			So(keys(seen), ShouldResemble, []string{"k"})
+		})
+		Convey("an outage ends a waiting watch", func() {
+			m := storer.NewMemory(clockwork.NewRealClock(), 1)
+			go func() {
+				time.Sleep(10 * time.Millisecond)
+				m.SetFaults(storer.Faults{Outage: true})
+			}()
+			_, err := m.Watch(ctx, "", 0, time.Minute)
+			So(onlyIs(err), ShouldEqual, storer.ErrUnavailable)
+		})
+	})
+}
