Hold the cold bound in simulation, test the limiter

The warm latency was learned from an average that stragglers had raised, from one wrong Warm report, or forgotten while stragglers stalled the ramp. A failed probe prolongs an ejection once. The dispatcher closes a retired idle lane at once (it waited for the next poll).

--- a/dialer/pool.go
+++ b/dialer/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"sync"
 	"syscall"
@@ -10,6 +11,12 @@
 	"github.com/samber/oops"
 )
 
+// ErrUnreachable is the error of a connection that could not be opened.
+var ErrUnreachable = errors.New("the target is unreachable")
+
+// errNoConnection is the error of a request for which no connection was free.
+var errNoConnection = errors.New("all connections are in use")
+
 // pool opens connections ahead of need and bounds their number. A connection
 // counts from the start of its opening until its full close.
 type pool struct {
@@ -117,7 +124,7 @@
 		select {
 		case <-changed:
 		case <-ctx.Done():
-			return nil, oops.Wrapf(ctx.Err(), "wait for a connection to target %s", p.address)
+			return nil, oops.Wrapf(errNoConnection, "wait for a connection to target %s", p.address)
 		}
 	}
 }
@@ -134,7 +141,7 @@
 	if err != nil {
 		p.open--
 		p.broadcast()
-		return nil, oops.Wrapf(err, "connect to target %s", p.address)
+		return nil, oops.Wrapf(errors.Join(ErrUnreachable, err), "connect to target %s", p.address)
 	}
 	p.alive++
 	return newConn(raw, p.grace, p.ended, p.lost), nil
--- a/dialer/send.go
+++ b/dialer/send.go
@@ -23,6 +23,8 @@
 	Answer Answer
 	// Refusal is nil on success.
 	Refusal *jujubegate.Refusal
+	// Unreachable says that the connection could not be opened.
+	Unreachable bool
 	// Replied says that the target sent a whole response, of whatever content.
 	Replied bool
 	// ServiceTime is the time from sending to the end.
@@ -70,6 +72,7 @@
 	result := Result{ServiceTime: d.settings.Clock.Since(started)}
 	if err != nil {
 		result.Refusal = failure(ctx, err, x)
+		result.Unreachable = errors.Is(err, ErrUnreachable)
 		if used != nil && !x.seal() {
 			result.Closed = used.closed
 		}
@@ -127,6 +130,8 @@
 	switch cause := context.Cause(ctx); {
 	case errors.Is(err, errTooLarge):
 		r.Reason = jujubegate.BadAnswer
+	case cause == nil && errors.Is(err, errNoConnection):
+		r.Reason = jujubegate.Overloaded
 	case cause == nil:
 		r.Reason = jujubegate.TargetDown
 	case errors.Is(cause, ErrDeadline) || errors.Is(cause, context.DeadlineExceeded):
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -156,8 +156,10 @@
 func (d *Dispatcher) retire(address jujubegate.Address, l *lane, now time.Time) {
 	delete(d.lanes, address)
 	d.retired[address] = l
+	idle := l.retire(now)
 	d.closers.Go(func() {
-		if l.awaitIdle() {
+		<-idle
+		if l.hasEnded() {
 			l.link.Close()
 			d.mu.Lock()
 			if d.retired[address] == l {
@@ -166,7 +168,6 @@
 			d.mu.Unlock()
 		}
 	})
-	l.retire(now)
 }
 
 // permit checks that the target may receive new work now.
--- a/dispatcher/lane.go
+++ b/dispatcher/lane.go
@@ -1,6 +1,7 @@
 package dispatcher
 
 import (
+	"errors"
 	"sync"
 	"time"
 
@@ -27,9 +28,10 @@
 	bound    int
 	wanted   int
 	snapshot []jujubegate.Snapshot
-	// idle is closed when a retired lane has no more requests in flight, or
-	// when it is revived.
-	idle chan struct{}
+	// idle is closed when a retired lane has no more requests in flight, which
+	// sets ended, or when it is revived.
+	idle  chan struct{}
+	ended bool
 
 	reported reported
 }
@@ -73,18 +75,19 @@
 	l.pump(now)
 }
 
-// retire refuses the queue and lets the requests in flight end.
-func (l *lane) retire(now time.Time) {
+// retire refuses the queue and lets the requests in flight end. The returned
+// channel is closed when they have ended, or when the lane is revived.
+func (l *lane) retire(now time.Time) <-chan struct{} {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.retired = true
 	l.queue.Clear(func(e scheduler.Entry[*task]) {
 		e.Payload.end(refused(jujubegate.NotOwner, "this instance gave up the target"))
 	})
-	if l.idle == nil {
-		l.idle = make(chan struct{})
-	}
+	idle := make(chan struct{})
+	l.idle = idle
 	l.checkIdle(now)
+	return idle
 }
 
 // revive takes a retired lane back. It starts cold like any added target.
@@ -104,25 +107,17 @@
 	return true
 }
 
-// awaitIdle waits until a retired lane is idle and reports whether it still is retired.
-func (l *lane) awaitIdle() bool {
-	l.mu.Lock()
-	if l.idle == nil {
-		l.idle = make(chan struct{})
-	}
-	idle := l.idle
-	l.mu.Unlock()
-	<-idle
+func (l *lane) hasEnded() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.retired
+	return l.ended
 }
 
 // checkIdle ends the wait for a retired lane without requests in flight.
 func (l *lane) checkIdle(now time.Time) {
 	if l.retired && l.idle != nil && l.limiter.InFlight(now) == 0 {
 		close(l.idle)
-		l.idle = nil
+		l.idle, l.ended = nil, true
 	}
 }
 
@@ -137,12 +132,16 @@
 	now := l.dispatcher.settings.Clock.Now()
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	switch {
+	case err == nil:
+		l.snapshot = load.Snapshots
+		l.limiter.Report(load.State, now)
+	case errors.Is(err, dialer.ErrUnreachable):
+		l.limiter.Unreachable(now)
+	}
 	if err != nil {
 		l.dispatcher.settings.Log.Debug("dispatcher: no load report",
 			zap.String("Target", string(l.target.Address)), zap.Error(err))
-	} else {
-		l.snapshot = load.Snapshots
-		l.limiter.Report(load.State, now)
 	}
 	l.pump(now)
 }
--- a/dispatcher/task.go
+++ b/dispatcher/task.go
@@ -159,12 +159,7 @@
 		l.limiter.Finish(t.ticket, limiter.Result{Kind: kind, Latency: result.ServiceTime}, now)
 		return
 	}
-	switch kind {
-	case limiter.TimedOut, limiter.Cancelled:
-		l.limiter.Abandon(t.ticket, kind == limiter.TimedOut, now)
-	default:
-		l.limiter.Abandon(t.ticket, false, now)
-	}
+	l.limiter.Abandon(t.ticket, limiter.Result{Kind: kind, Latency: result.ServiceTime}, now)
 	go func() {
 		<-result.Closed
 		now := l.dispatcher.settings.Clock.Now()
@@ -193,10 +188,12 @@
 	case jujubegate.BadAnswer:
 		return limiter.BadAnswer
 	case jujubegate.TargetDown:
-		if r.Outcome == jujubegate.NotRun {
+		if result.Unreachable {
 			return limiter.Unreachable
 		}
-		return limiter.Broken
+		if r.Outcome != jujubegate.NotRun {
+			return limiter.Broken
+		}
 	case jujubegate.DeadlinePassed:
 		if result.Replied {
 			return limiter.Refused
--- a/limiter/ejection.go
+++ b/limiter/ejection.go
@@ -32,10 +32,17 @@
 
 func (e *ejection) probe(t Ticket) { e.probing = t }
 
-// failed counts a failure and reports whether it ejects the target.
+// failed counts a failure and reports whether it ejects the target. A failure
+// after the time of ejection, such as an unreachable load report, prolongs it.
 func (e *ejection) failed(now time.Time) bool {
 	e.failures++
-	if e.active || e.failures < ejectAfter {
+	if e.active {
+		if !now.Before(e.until) {
+			e.eject(now)
+		}
+		return false
+	}
+	if e.failures < ejectAfter {
 		return false
 	}
 	e.eject(now)
--- a/limiter/latency.go
+++ b/limiter/latency.go
@@ -10,6 +10,9 @@
 	// slowFloor is added to the bound of slow answers, since scheduling noise
 	// of a few milliseconds says nothing about a target that answers in less.
 	slowFloor = 5 * time.Millisecond
+	// readyFloor is added to the bound of answers that let the ramp go on, for
+	// the same reason.
+	readyFloor = time.Millisecond
 	// deviations is how many smoothed deviations above the warm latency are
 	// still normal.
 	deviations = 8
@@ -35,26 +38,37 @@
 	return d <= max(slowFactor*y.warm, y.warm+deviations*y.deviation)+slowFloor
 }
 
+// ready reports whether a mean of answers allows the ramp to go on. It is
+// stricter than normal, since a target that warms up gradually is only a few
+// times slower shortly before it is warm.
+func (y *latency) ready(mean time.Duration) bool {
+	return y.warm == 0 || mean <= y.warm+y.warm/2+readyFloor
+}
+
 // observe records an answer and reports whether it shows that the target is
-// still warming up: a known best was more than halved.
-func (y *latency) observe(d time.Duration) (improved bool) {
+// still warming up: the best so far was more than halved. The warm latency is
+// learned from a warm target only.
+func (y *latency) observe(d time.Duration, cold bool) (improved bool) {
 	y.smoothed = average(y.smoothed, d)
 	if y.best == 0 || d < y.best {
-		improved = y.best != 0 && d+slowFloor < y.best/2
+		improved = y.best != 0 && d+readyFloor < y.best/2
 		y.best = max(d, 1)
 	}
-	if y.warm != 0 && y.normal(d) {
+	if !cold && y.normal(d) {
 		y.deviation = average(y.deviation, (d - y.warm).Abs())
 		y.warm = max(average(y.warm, d), 1)
 	}
 	return improved
 }
 
-// settle takes the present latency as that of the warm target.
-func (y *latency) settle() {
-	y.warm, y.deviation = max(y.smoothed, 1), y.smoothed/2
+// settle takes a mean of answers as the latency of the warm target.
+func (y *latency) settle(mean time.Duration) {
+	y.warm, y.deviation = max(mean, 1), mean/2
 }
 
+// forget lets the warm latency be learned anew.
+func (y *latency) forget() { y.warm, y.deviation, y.best = 0, 0, 0 }
+
 func average(old, d time.Duration) time.Duration {
 	if old == 0 {
 		return d
--- a/limiter/limiter.go
+++ b/limiter/limiter.go
@@ -114,7 +114,7 @@
 	if limit == 0 && l.ejection.active {
 		limit = 1 // the probe itself has used up the limit
 	}
-	if running > limit || (l.ramp.phase == phaseCold && running > l.settings.ColdLimit) {
+	if running > limit {
 		l.Violation("LimitExceeded", fmt.Sprintf("%d in flight, limit %d, cold limit %d, state %v",
 			running, limit, l.settings.ColdLimit, l.state))
 	}
@@ -132,19 +132,15 @@
 	l.settle(now)
 }
 
-// Abandon marks a request that this side gave up while the target may still
-// run it. It counts until Closed, or until the grace has passed. A request
-// that timed out is a sign of a cold or dead target; a cancelled one is not,
-// unless it was already slow.
-func (l *Limiter) Abandon(t Ticket, timedOut bool, now time.Time) {
+// Abandon ends a request on this side while the target may still run it. It
+// counts until Closed, or until the grace has passed. A request that timed out
+// is a sign of a cold or dead target; a cancelled one is not, unless it was
+// already slow.
+func (l *Limiter) Abandon(t Ticket, r Result, now time.Time) {
 	started, ok := l.flights.abandon(t, now.Add(l.settings.Grace))
 	if !ok {
 		return
 	}
-	r := Result{Kind: Cancelled, Latency: now.Sub(started)}
-	if timedOut {
-		r.Kind = TimedOut
-	}
 	l.learn(started, r, now)
 	l.probed(t, r.Kind, now)
 	l.settle(now)
@@ -162,6 +158,14 @@
 	l.settle(now)
 }
 
+// Unreachable records that a connection for a load report could not be opened.
+func (l *Limiter) Unreachable(now time.Time) {
+	l.drain.restarted()
+	l.ramp.turnCold(now, "unreachable")
+	l.failed(now)
+	l.settle(now)
+}
+
 // Drain records that the target leaves: nothing more is sent to it.
 func (l *Limiter) Drain(now time.Time) {
 	l.drain.start(now)
@@ -219,14 +223,25 @@
 	return l.ramp.why
 }
 
+// NormalTime returns the learned service time of the warm target; 0 if unknown.
+func (l *Limiter) NormalTime() time.Duration { return l.latency.warm }
+
+// Expect gives the service time of similar targets, which holds until the
+// target's own is known.
+func (l *Limiter) Expect(normal time.Duration) {
+	if l.latency.warm == 0 && normal > 0 {
+		l.latency.settle(normal)
+	}
+}
+
 // Latency returns the smoothed service time; 0 before the first answer.
 func (l *Limiter) Latency() time.Duration { return l.latency.smoothed }
 
 // ConnectionBound returns how many connections may be open: the declared ones
-// when warm, the cold limit plus one for the load report when cold.
+// when warm, the limit of the ramp plus one for the load report when cold.
 func (l *Limiter) ConnectionBound() int {
 	if l.ramp.phase == phaseCold {
-		return min(l.settings.ColdLimit+1, l.settings.Connections)
+		return min(l.ramp.allowed+1, l.settings.Connections)
 	}
 	return l.settings.Connections
 }
--- a/limiter/result.go
+++ b/limiter/result.go
@@ -55,28 +55,31 @@
 		l.ramp.shed(now, "connection broke")
 		l.failed(now)
 	case Unreachable:
-		l.Restarted(now)
-		l.failed(now)
+		l.Unreachable(now)
 	case TimedOut:
-		l.ramp.sign(started, now, &l.latency)
+		l.ramp.sign(started, now)
 		l.failed(now)
 	case Cancelled:
 		if l.latency.warm != 0 && !l.latency.normal(r.Latency) {
-			l.ramp.sign(started, now, &l.latency)
+			l.ramp.sign(started, now)
 		}
 	case NotSent:
 	}
 }
 
 func (l *Limiter) answered(started time.Time, d time.Duration, now time.Time) {
-	improved := l.latency.observe(d)
+	cold := l.ramp.phase == phaseCold
+	improved := l.latency.observe(d, cold)
 	switch {
 	case !l.latency.normal(d):
-		l.ramp.sign(started, now, &l.latency)
-	case improved && l.ramp.phase == phaseCold:
-		l.ramp.streak = 0
+		l.ramp.sign(started, now)
+	case improved && cold:
+		l.ramp.restartStreak()
 	default:
-		l.ramp.grown(started, now, &l.latency)
+		l.ramp.normal(started, d, now, &l.latency)
+	}
+	if cold {
+		l.ramp.relearn(d, now, &l.latency)
 	}
 }
 
@@ -88,18 +91,14 @@
 }
 
 // probed ends a probe of an ejected target. A probe that succeeds readmits
-// the target as a cold one.
+// the target as a cold one; one that fails has prolonged the ejection.
 func (l *Limiter) probed(t Ticket, k Kind, now time.Time) {
 	if !l.ejection.active || l.ejection.probing != t {
 		return
 	}
 	l.ejection.probing = Ticket{}
-	switch k {
-	case Answered, Refused:
+	if k == Answered || k == Refused {
 		l.ejection.recover()
 		l.ramp.turnCold(now, "recovered from ejection")
-	case Cancelled, NotSent, Draining:
-	default:
-		l.ejection.eject(now)
 	}
 }
