--- a/dispatcher/lane.go
+++ b/dispatcher/lane.go
@@ -41,8 +41,8 @@
 	l.limiter = limiter.New(bounds(spec), now)
 	l.limiter.Violation = d.settings.Violation
 	l.limiter.Changed = l.changed
-	l.queue.Dropped = func(e scheduler.Entry[*task]) {
-		e.Payload.end(refused(jujubegate.DeadlinePassed, "the deadline can no longer be met"))
+	l.queue.Dropped = func(e scheduler.Entry[*task], reason jujubegate.Reason) {
+		e.Payload.end(refused(reason, "dropped from the queue"))
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/scheduler/flow.go
+++ b/scheduler/flow.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"jujubegate.example/jujubegate"
 )
@@ -130,6 +131,52 @@
 	s[before].next, s[v.current].previous = f, f
 }
 
+// place returns how many entries of a flow are served before one with the deadline.
+func (q *Queue[T]) place(f int32, deadline time.Time) int {
+	w := &q.flows.list[f]
+	place := w.count
+	for i := w.tail; i != none && q.nodes[i].entry.Deadline.After(deadline); i = q.nodes[i].previous {
+		place--
+	}
+	return place
+}
+
+// makeRoom drops the last entry of the longest flow of the lowest priority if
+// that is fair to a new entry of the caller, and reports whether it did.
+// Without it, a caller that fills the queue would shut out all others.
+func (q *Queue[T]) makeRoom(caller jujubegate.Caller, priority int) bool {
+	lowest := len(q.levels) - 1
+	for q.levels[lowest].count == 0 {
+		lowest--
+	}
+	v := &q.levels[lowest]
+	if v.priority > priority {
+		return false
+	}
+	longest := v.current
+	for f := q.flows.list[longest].next; f != v.current; f = q.flows.list[f].next {
+		if q.flows.list[f].count > q.flows.list[longest].count {
+			longest = f
+		}
+	}
+	if v.priority == priority {
+		own := 0
+		if f, ok := q.flows.find(caller, priority); ok {
+			own = q.flows.list[f].count
+		}
+		if q.flows.list[longest].count <= own+1 {
+			return false
+		}
+	}
+	i := q.flows.list[longest].tail
+	e := q.nodes[i].entry
+	q.remove(i)
+	if q.Dropped != nil {
+		q.Dropped(e, jujubegate.Overloaded)
+	}
+	return true
+}
+
 // linkByDeadline puts an entry behind those of its flow with an earlier or
 // equal deadline. Deadlines mostly ascend, so the search starts at the tail.
 func (q *Queue[T]) linkByDeadline(f, i int32) {
--- a/scheduler/queue.go
+++ b/scheduler/queue.go
@@ -61,8 +61,10 @@
 // Queue holds the entries that wait for one target. It is not safe for
 // concurrent use.
 type Queue[T any] struct {
-	// Dropped receives each entry that Pop finds unable to meet its deadline; nil ignores it.
-	Dropped func(Entry[T])
+	// Dropped receives each entry that is removed without being served, with the
+	// reason: DeadlinePassed if it can no longer meet its deadline, Overloaded if
+	// it made room in the full queue. nil ignores it.
+	Dropped func(Entry[T], jujubegate.Reason)
 
 	length int
 	nodes  []node[T]
@@ -95,25 +97,26 @@
 func (q *Queue[T]) Len() int { return q.count }
 
 // Push adds an entry, or refuses it if it cannot meet its deadline behind the
-// entries that are served before it.
+// entries that are served before it. In a full queue it takes the place of an
+// entry of lower priority, or of a caller that has more entries waiting.
 func (q *Queue[T]) Push(now time.Time, e Entry[T], load Load) (Ticket, Verdict) {
 	if now.Add(load.ServiceTime).After(e.Deadline) {
 		return Ticket{}, Verdict{Reason: jujubegate.DeadlinePassed}
 	}
-	wait := q.Wait(e.Caller, e.Priority, load)
+	wait := q.Wait(e.Caller, e.Priority, e.Deadline, load)
 	if late := now.Add(wait + load.ServiceTime).Sub(e.Deadline); late > 0 {
 		return Ticket{}, Verdict{Reason: jujubegate.Overloaded, RetryAfter: late}
 	}
-	if q.count >= q.length {
+	if q.count >= q.length && !q.makeRoom(e.Caller, e.Priority) {
 		return Ticket{}, Verdict{Reason: jujubegate.Overloaded, RetryAfter: max(wait, time.Millisecond)}
 	}
 	return q.insert(e), Verdict{}
 }
 
-// Wait estimates how long a new entry of the caller would wait. With equal
-// shares, an entry at place k of its caller is served after at most k entries
-// of each caller that waits at its priority, and after all of higher priority.
-func (q *Queue[T]) Wait(caller jujubegate.Caller, priority int, load Load) time.Duration {
+// Wait estimates how long a new entry would wait. With equal shares, an entry
+// at place k of its caller is served after at most k entries of each caller
+// that waits at its priority, and after all of higher priority.
+func (q *Queue[T]) Wait(caller jujubegate.Caller, priority int, deadline time.Time, load Load) time.Duration {
 	ahead := 0
 	for i := range q.levels {
 		v := &q.levels[i]
@@ -123,7 +126,7 @@
 		case v.priority == priority:
 			place, active := 0, v.flows
 			if f, ok := q.flows.find(caller, priority); ok {
-				place = q.flows.list[f].count
+				place = q.place(f, deadline)
 			} else {
 				active++
 			}
@@ -152,7 +155,7 @@
 		}
 		q.remove(i)
 		if q.Dropped != nil {
-			q.Dropped(e)
+			q.Dropped(e, jujubegate.DeadlinePassed)
 		}
 	}
 	return Entry[T]{}, false
