Add the daemon, the callers' client, peer messages and the demo

Cause: the parts existed, but no request could be served end to end. Change: transporter (connect messages between instances), server (echo API for callers and operators), assembler (one instance from its settings), asker and jujubeask (callers), launcher and demonstrator (make demo). A target report counts only while its author owns the target, and an instance releases a view as soon as nothing runs on the targets that it lost.

--- /dev/null
+++ b/asker/message.go
@@ -0,0 +1,124 @@
+// Package asker is the callers' client: it asks an instance which addresses
+// to use, keeps that answer for as long as it is valid, and sends queries and
+// orders. Its message types are those of the callers' HTTP API.
+package asker
+
+import (
+	"encoding/json"
+	"time"
+
+	"jujubegate.example/jujubegate"
+)
+
+// Paths of the callers' HTTP API.
+const (
+	QueryPath     = "/v1/query"
+	OrderPath     = "/v1/orders"
+	AddressesPath = "/v1/addresses"
+)
+
+// QueryRequest is the body of POST /v1/query.
+type QueryRequest struct {
+	Service jujubegate.Service
+	Route   jujubegate.Route
+	Caller  jujubegate.Caller
+	// Body goes to every shard unchanged; it is any JSON value.
+	Body json.RawMessage `json:",omitempty"`
+	// TimeoutMs is the time the caller waits; 0 means the service's deadline.
+	TimeoutMs int64 `json:",omitempty"`
+	// AllowPartial accepts an answer that does not cover every key.
+	AllowPartial bool `json:",omitempty"`
+}
+
+// KeyRange is a half-open interval of 32-bit keys.
+type KeyRange struct {
+	Start uint64
+	End   uint64
+}
+
+// Coverage states which part of the key space an answer covers.
+type Coverage struct {
+	// Fraction is the covered share of the key space, 0 to 1.
+	Fraction float64
+	Missing  []KeyRange `json:",omitempty"`
+}
+
+// QueryAnswer is the body of a successful answer to POST /v1/query.
+type QueryAnswer struct {
+	QueryID  string
+	Snapshot jujubegate.Snapshot
+	Coverage Coverage
+	// Rows is a JSON array in shard order.
+	Rows json.RawMessage
+	// Hedges and Retries count the extra sub-requests of this query.
+	Hedges  int
+	Retries int
+	// Instance answered the query.
+	Instance jujubegate.Instance
+}
+
+// Whole reports whether the answer covers every key.
+func (a QueryAnswer) Whole() bool { return len(a.Coverage.Missing) == 0 }
+
+// OrderRequest is the body of POST /v1/orders.
+type OrderRequest struct {
+	Service jujubegate.Service
+	Route   jujubegate.Route
+	Caller  jujubegate.Caller
+	// ID is a UUIDv7 that the caller makes once and repeats on every retry.
+	ID string
+	// Key selects the shard.
+	Key       string
+	Body      json.RawMessage `json:",omitempty"`
+	TimeoutMs int64           `json:",omitempty"`
+	// First states that no request with this ID was sent before. It allows a
+	// refusal to say "not run" without a look at the record.
+	First bool `json:",omitempty"`
+}
+
+// OrderAnswer is the recorded outcome of an order.
+type OrderAnswer struct {
+	ID string
+	// Outcome is Ran, NotRun or Unknown.
+	Outcome string
+	// Rows is the target's answer; empty unless the order ran.
+	Rows json.RawMessage `json:",omitempty"`
+	// Repeated is set if the outcome was recorded by an earlier request.
+	Repeated bool `json:",omitempty"`
+	Detail   string
+}
+
+// RefusalBody is the body of an answer with an error status.
+type RefusalBody struct {
+	Reason jujubegate.Reason
+	// Outcome is NotRun, Ran or Unknown.
+	Outcome      string
+	RetryAfterMs int64 `json:",omitempty"`
+	Detail       string
+	// Addresses are other instances to try, if any.
+	Addresses []string `json:",omitempty"`
+}
+
+// Refusal returns the typed error.
+func (b RefusalBody) Refusal() *jujubegate.Refusal {
+	refusal := &jujubegate.Refusal{
+		Reason:     b.Reason,
+		RetryAfter: time.Duration(b.RetryAfterMs) * time.Millisecond,
+		Detail:     b.Detail,
+	}
+	switch b.Outcome {
+	case jujubegate.NotRun.String():
+		refusal.Outcome = jujubegate.NotRun
+	case jujubegate.Ran.String():
+		refusal.Outcome = jujubegate.Ran
+	}
+	return refusal
+}
+
+// AddressesAnswer is the body of GET /v1/addresses.
+type AddressesAnswer struct {
+	// Addresses are host:port, the best first.
+	Addresses []string
+	// ValidForMs is how long the caller may keep the answer.
+	ValidForMs int64
+}
--- /dev/null
+++ b/assembler/daemon.go
@@ -0,0 +1,298 @@
+// Package assembler builds an entry daemon from its settings: it connects the
+// parts of one instance and runs them.
+package assembler
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/samber/oops"
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+	"golang.org/x/time/rate"
+
+	"jujubegate.example/jujubegate"
+	"jujubegate.example/jujubegate/advertiser"
+	"jujubegate.example/jujubegate/assigner"
+	"jujubegate.example/jujubegate/configurator"
+	"jujubegate.example/jujubegate/dispatcher"
+	"jujubegate.example/jujubegate/leaser"
+	"jujubegate.example/jujubegate/lister"
+	"jujubegate.example/jujubegate/loader"
+	"jujubegate.example/jujubegate/orderer"
+	"jujubegate.example/jujubegate/querier"
+	"jujubegate.example/jujubegate/recorder"
+	"jujubegate.example/jujubegate/server"
+	"jujubegate.example/jujubegate/storer"
+	"jujubegate.example/jujubegate/transporter"
+)
+
+const (
+	// cell names the group of instances that share a membership view. A fleet
+	// of up to 32 instances is one cell.
+	cell = "Fleet"
+	// orderWritesPerSecond is this instance's share of the store's several
+	// hundred writes a second.
+	orderWritesPerSecond = 40
+	// upkeepInterval is the time between two checks of which owned targets may
+	// be used. A takeover or a lost lease is acted on within it.
+	upkeepInterval = 100 * time.Millisecond
+)
+
+// Daemon is one instance of the entry daemon.
+type Daemon struct {
+	settings loader.Settings
+	clock    jujubegate.Clock
+	logger   *zap.Logger
+	self     leaser.Member
+
+	recorder   *recorder.Recorder
+	store      *storer.Client
+	lister     *lister.Client
+	follower   *configurator.Follower
+	leaser     *leaser.Leaser
+	ownership  *assigner.Ownership
+	dispatcher *dispatcher.Dispatcher
+	querier    *querier.Querier
+	orderer    *orderer.Orderer
+	advertiser *advertiser.Advertiser
+	reports    *reportBook
+	peers      *peerBook
+	client     *transporter.Client
+	handler    *transporter.Handler
+	server     *server.Server
+
+	queryLatency *recorder.Histogram
+
+	// configured is set once the newest generation was read from the store or
+	// from a majority of the peers; before that no work is taken.
+	configured atomic.Bool
+	refusing   atomic.Pointer[jujubegate.Refusal]
+	fetching   atomic.Bool
+	background sync.WaitGroup
+	upkeep     upkeep
+	random     *lockedRand
+}
+
+// New connects the parts of an instance; Run starts them.
+func New(settings loader.Settings, clock jujubegate.Clock, logger *zap.Logger) (*Daemon, error) {
+	d := &Daemon{settings: settings, clock: clock, logger: logger, reports: newReportBook(), peers: newPeerBook()}
+	d.self = leaser.Member{
+		Instance:      settings.Instance,
+		Incarnation:   uuid.NewString(),
+		DataCentre:    settings.DataCentre,
+		PeerAddress:   settings.PeerAddress,
+		CallerAddress: settings.CallerAddress,
+	}
+	d.random = newLockedRand(rand.Uint64(), rand.Uint64())
+	d.recorder = recorder.New(logger, settings.FatalChecks)
+	if err := d.connectPlatform(); err != nil {
+		return nil, err
+	}
+	d.connectControl()
+	d.connectOwner()
+	d.connectEntry()
+	d.connectServers()
+	d.publishGauges()
+	return d, nil
+}
+
+func (d *Daemon) connectPlatform() error {
+	var err error
+	d.store, err = storer.New(storer.Settings{
+		Addresses:      d.settings.Store.Addresses,
+		Instance:       d.settings.Instance,
+		Timeout:        d.settings.Store.Timeout,
+		CallsPerSecond: d.settings.Store.CallsPerSecond,
+	})
+	if err != nil {
+		return err
+	}
+	d.lister, err = lister.New(lister.Settings{
+		Addresses: d.settings.Store.Addresses,
+		Instance:  d.settings.Instance,
+		Timeout:   d.settings.Store.Timeout,
+	})
+	return err
+}
+
+func (d *Daemon) connectControl() {
+	d.client = transporter.NewClient(d.clock)
+	d.client.Observed = d.observe
+	d.follower = configurator.New(d.store.Store, d.clock, d.logger)
+	d.follower.Watcher = d.watches
+	d.follower.OnChange = d.changed
+	d.follower.OnViolation = func(err error) {
+		d.recorder.Check().Violation(recorder.Configuration, "%v", err)
+	}
+	timing := leaser.DefaultTiming()
+	timing.Heartbeat = d.settings.Lease.Heartbeat
+	timing.Suspicion = d.settings.Lease.Suspect
+	timing.Lease = d.settings.Lease.Duration
+	// The ownership reads the state of the leaser, which reports the
+	// generation of the ownership.
+	d.ownership = assigner.NewOwnership(func() *leaser.State { return d.leaser.State() }, d.logger)
+	d.leaser = leaser.New(leaser.Options{
+		Self:         d.self,
+		Cell:         cell,
+		Timing:       timing,
+		Heartbeat:    d.client.Heartbeat,
+		Store:        d.store.Store,
+		Clock:        d.clock,
+		Listed:       d.listed,
+		Generation:   d.ownership.Generation,
+		OnGeneration: d.fetchFrom,
+		OnView:       func(leaser.View) { d.upkeep.request() },
+		Drained:      d.drainLost,
+		Logger:       d.logger,
+	})
+	d.advertiser = advertiser.New(d.leaser.State)
+}
+
+func (d *Daemon) connectOwner() {
+	d.upkeep = newUpkeep()
+	d.dispatcher = dispatcher.New(dispatcher.Settings{
+		MaySend:   d.ownership.MaySend,
+		Allowed:   func(t jujubegate.Target) bool { return d.follower.Current().Allows(t) },
+		Violation: d.violation,
+		Clock:     d.clock,
+		Log:       d.logger,
+	})
+}
+
+func (d *Daemon) connectEntry() {
+	q := querier.New(d.settings.DataCentre, d.clock, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), d.logger)
+	q.Configuration = d.follower.Current
+	q.Serving = d.serving
+	q.Owner = d.owner
+	q.Reports = d.report
+	q.Dispatch = d.dispatch
+	q.Cancel = d.cancel
+	q.Violation = d.violation
+	d.querier = q
+	d.orderer = orderer.New(d.store.Store, q, d.clock, rate.Limit(orderWritesPerSecond), d.logger)
+	d.orderer.Violation = d.violation
+}
+
+func (d *Daemon) connectServers() {
+	d.handler = transporter.NewHandler(d.clock, d.logger)
+	d.handler.TakeHeartbeat = d.leaser.HandleHeartbeat
+	d.handler.Run = d.dispatcher.Do
+	d.handler.CancelRun = d.dispatcher.Cancel
+	d.handler.ReportsSince = func(mark uint64) ([]jujubegate.TargetReport, uint64) {
+		reports, next := d.dispatcher.ReportsSince(dispatcher.Mark(mark))
+		return reports, uint64(next)
+	}
+	d.handler.Counts = func() []jujubegate.RouteCount { return nil }
+	d.handler.Changes = d.follower.After
+	d.handler.Offer = d.offer
+	d.handler.TellStatus = d.status
+
+	d.server = server.New(d.logger)
+	d.server.Query = d.query
+	d.server.Order = d.order
+	d.server.Outcome = d.outcome
+	d.server.Addresses = d.addresses
+	d.server.Statements = d.statements
+	d.server.InForce = d.inForce
+	d.server.Refusing = d.refusing.Load
+	d.server.Ready = d.ready
+	d.server.Vars = d.recorder
+}
+
+func (d *Daemon) violation(name, detail string) {
+	d.recorder.Check().Violation(recorder.Invariant(name), "%s", detail)
+}
+
+// serving reports whether this instance may take new work.
+func (d *Daemon) serving(now time.Time) bool {
+	return d.configured.Load() && d.leaser.Serving(now)
+}
+
+func (d *Daemon) ready() error {
+	switch {
+	case d.refusing.Load() != nil:
+		return errors.New("instance is leaving")
+	case !d.configured.Load():
+		return errors.New("configuration is not loaded")
+	case !d.leaser.Serving(d.clock.Now()):
+		return errors.New("serving lease is not held")
+	}
+	return nil
+}
+
+// Run serves until the context ends and then stops gracefully.
+func (d *Daemon) Run(ctx context.Context) error {
+	peerListener, err := net.Listen("tcp", d.settings.PeerAddress)
+	if err != nil {
+		return oops.In("assembler").Wrapf(err, "listen for peers")
+	}
+	callerListener, err := net.Listen("tcp", d.settings.CallerAddress)
+	if err != nil {
+		_ = peerListener.Close()
+		return oops.In("assembler").Wrapf(err, "listen for callers")
+	}
+	peerServer := d.handler.HTTPServer()
+	callerServer := server.HTTPServer(d.server.Handler(int64(d.settings.Limits.MaxBodyBytes)))
+	d.logger.Info("assembler: started", zap.String("instance", string(d.self.Instance)),
+		zap.String("peers", d.settings.PeerAddress), zap.String("callers", d.settings.CallerAddress))
+
+	running, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	group, groupContext := errgroup.WithContext(running)
+	group.Go(func() error { return serve(peerServer, peerListener) })
+	group.Go(func() error { return serve(callerServer, callerListener) })
+	group.Go(func() error { return ignoreEnd(d.leaser.Run(groupContext)) })
+	group.Go(func() error { return ignoreEnd(d.follower.Run(groupContext)) })
+	group.Go(func() error { d.orderer.Run(groupContext); return nil })
+	group.Go(func() error { d.configure(groupContext); return nil })
+	group.Go(func() error { d.keepUp(groupContext); return nil })
+	group.Go(func() error {
+		select {
+		case <-ctx.Done():
+			d.leave(callerServer)
+		case <-groupContext.Done():
+		}
+		stop()
+		closePeers(peerServer)
+		return callerServer.Close()
+	})
+	err = group.Wait()
+	d.background.Wait()
+	d.client.Close()
+	d.store.Close()
+	d.lister.Close()
+	return err
+}
+
+// peerCloseTime bounds the wait for calls of peers at the end.
+const peerCloseTime = 2 * time.Second
+
+func closePeers(s *http.Server) {
+	ctx, cancel := context.WithTimeout(context.Background(), peerCloseTime)
+	defer cancel()
+	if s.Shutdown(ctx) != nil {
+		_ = s.Close()
+	}
+}
+
+func serve(s *http.Server, l net.Listener) error {
+	if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		return oops.In("assembler").Wrapf(err, "serve %s", l.Addr())
+	}
+	return nil
+}
+
+func ignoreEnd(err error) error {
+	if errors.Is(err, context.Canceled) {
+		return nil
+	}
+	return err
+}
--- /dev/null
+++ b/dispatcher/retired.go
@@ -0,0 +1,9 @@
+package dispatcher
+
+// Retired returns the number of targets that were taken from this dispatcher
+// and still have requests in flight or open connections.
+func (d *Dispatcher) Retired() int {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	return len(d.retired)
+}
--- /dev/null
+++ b/launcher/launcher.go
@@ -0,0 +1,171 @@
+// Package launcher starts the programs of this repository as processes on
+// loopback addresses, for the demo and for measurements.
+package launcher
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/samber/oops"
+)
+
+// stopTime bounds the wait for a process after SIGTERM.
+const stopTime = 20 * time.Second
+
+// Process is a started program.
+type Process struct {
+	Name string
+
+	command *exec.Cmd
+	output  *os.File
+	done    chan struct{}
+	err     error
+}
+
+// Launcher starts processes and ends them, by process ID.
+type Launcher struct {
+	binaries  string
+	directory string
+
+	mu        sync.Mutex
+	processes []*Process
+}
+
+// New returns a launcher for the programs in a directory. Settings and output
+// files go into the other directory.
+func New(binaries, directory string) *Launcher {
+	return &Launcher{binaries: binaries, directory: directory}
+}
+
+// Write writes a file into the launcher's directory and returns its path.
+func (l *Launcher) Write(name, content string) (string, error) {
+	path := filepath.Join(l.directory, name)
+	return path, oops.In("launcher").Wrap(os.WriteFile(path, []byte(content), 0o600))
+}
+
+// Start starts a program; its output goes to <name>.log.
+func (l *Launcher) Start(name, program string, arguments ...string) (*Process, error) {
+	output, err := os.Create(filepath.Join(l.directory, name+".log"))
+	if err != nil {
+		return nil, oops.In("launcher").Wrap(err)
+	}
+	command := exec.Command(filepath.Join(l.binaries, program), arguments...)
+	command.Stdout, command.Stderr = output, output
+	// A killed demo leaves no processes behind.
+	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGTERM}
+	if err := command.Start(); err != nil {
+		_ = output.Close()
+		return nil, oops.In("launcher").Wrapf(err, "start %s", program)
+	}
+	p := &Process{Name: name, command: command, output: output, done: make(chan struct{})}
+	go func() {
+		p.err = command.Wait()
+		_ = output.Close()
+		close(p.done)
+	}()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.processes = append(l.processes, p)
+	return p, nil
+}
+
+// Run runs a program to its end and returns its output.
+func (l *Launcher) Run(ctx context.Context, program string, arguments ...string) (string, error) {
+	var output bytes.Buffer
+	command := exec.CommandContext(ctx, filepath.Join(l.binaries, program), arguments...)
+	command.Stdout, command.Stderr = &output, &output
+	if err := command.Run(); err != nil {
+		return output.String(), oops.In("launcher").Wrapf(err, "%s: %s", program, output.String())
+	}
+	return output.String(), nil
+}
+
+// Signal sends a signal.
+func (p *Process) Signal(s os.Signal) error { return p.command.Process.Signal(s) }
+
+// Stop sends SIGTERM and waits for the end; it kills the process if that takes
+// too long and returns an error then.
+func (p *Process) Stop() error {
+	_ = p.Signal(syscall.SIGTERM)
+	select {
+	case <-p.done:
+		return p.err
+	case <-time.After(stopTime):
+	}
+	_ = p.Signal(syscall.SIGKILL)
+	<-p.done
+	return fmt.Errorf("process %s was killed: it did not end within %v", p.Name, stopTime)
+}
+
+// Output returns what the process has written so far.
+func (p *Process) Output() (string, error) {
+	content, err := os.ReadFile(p.output.Name())
+	return string(content), err
+}
+
+// StopAll stops all processes, the last started first, because later ones
+// depend on earlier ones. Processes of one program stop at the same time.
+func (l *Launcher) StopAll() error {
+	l.mu.Lock()
+	processes := l.processes
+	l.processes = nil
+	l.mu.Unlock()
+	failures := make([]error, len(processes))
+	var waits sync.WaitGroup
+	for i := len(processes) - 1; i >= 0; i-- {
+		p := processes[i]
+		if i+1 < len(processes) && p.command.Path != processes[i+1].command.Path {
+			waits.Wait()
+		}
+		waits.Go(func() { failures[i] = p.Stop() })
+	}
+	waits.Wait()
+	return errors.Join(failures...)
+}
+
+// FreeAddresses returns loopback addresses whose ports were free a moment ago.
+func FreeAddresses(count int) ([]string, error) {
+	addresses := make([]string, count)
+	for i := range addresses {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, oops.In("launcher").Wrap(err)
+		}
+		// Open until all are chosen, so that none is chosen twice.
+		defer listener.Close()
+		addresses[i] = listener.Addr().String()
+	}
+	return addresses, nil
+}
+
+// Await polls a URL until it answers with status 200.
+func Await(ctx context.Context, url string) error {
+	for {
+		request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, http.NoBody)
+		if err != nil {
+			return oops.In("launcher").Wrap(err)
+		}
+		response, err := http.DefaultClient.Do(request)
+		if err == nil {
+			_ = response.Body.Close()
+			if response.StatusCode == http.StatusOK {
+				return nil
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return oops.In("launcher").Wrapf(ctx.Err(), "await %s", url)
+		case <-time.After(50 * time.Millisecond):
+		}
+	}
+}
