--- a/scheduler/model_test.go
+++ b/scheduler/model_test.go
@@ -12,11 +12,8 @@
 
 const modelLength = 12
 
-// waiting is an entry of the plain model, with its ticket.
-type waiting struct {
-	Entry[int]
-	ticket Ticket
-}
+// waiting is an entry of the plain model.
+type waiting struct{ Entry[int] }
 
 // plain is the queue as one list per caller and priority in a list of turns.
 type plain struct {
@@ -142,7 +139,7 @@
 		q.Dropped = func(e Entry[int], _ jujubegate.Reason) { dropped = append(dropped, e.Payload) }
 		now, tickets := epoch, map[int]Ticket{}
 		for id := range rapid.IntRange(50, 100).Draw(t, "steps") {
-			switch rapid.SampledFrom([]string{"push", "push", "push", "pop", "pop", "remove", "wait"}).Draw(t, "step") {
+			switch rapid.SampledFrom([]string{"push", "push", "push", "push", "pop", "remove", "wait"}).Draw(t, "step") {
 			case "push":
 				e := Entry[int]{
 					Caller:   rapid.SampledFrom([]jujubegate.Caller{"a", "b", "c", "d"}).Draw(t, "caller"),
@@ -150,7 +147,7 @@
 					Deadline: now.Add(time.Duration(rapid.IntRange(0, 200).Draw(t, "deadline")) * time.Millisecond),
 					Payload:  id,
 				}
-				load := Load{rapid.IntRange(1, 3).Draw(t, "limit"), rapid.IntRange(0, 3).Draw(t, "in flight"), serviceTime}
+				load := Load{rapid.IntRange(1, 3).Draw(t, "limit"), rapid.IntRange(0, 3).Draw(t, "in flight"), rapid.SampledFrom([]time.Duration{0, 0, serviceTime}).Draw(t, "service time")}
 				want := p.push(now, e, load)
 				ticket, v := q.Push(now, e, load)
 				if v.Reason != want {
