--- a/dialer/conn.go
+++ b/dialer/conn.go
@@ -5,6 +5,7 @@
 	"net"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"jujubegate.example/jujubegate"
@@ -29,21 +30,22 @@
 	// permit is asked right before the first byte is written; a refusal
 	// withholds the request.
 	permit  func() *jujubegate.Refusal
-	refused *jujubegate.Refusal
+	refused atomic.Pointer[jujubegate.Refusal]
+	// stale says that nothing was written because the connection was closed.
+	stale atomic.Bool
+	// received says that the target has sent at least one byte.
+	received atomic.Bool
 }
 
-// begin decides at the first write whether the request goes out.
-func (x *exchange) begin() error {
+// begin decides at the first write on a connection whether the request goes out.
+func (x *exchange) begin(c *conn) error {
 	if x.state.Load() == exchangeWritten {
 		return nil
 	}
-	if x.permit != nil {
-		if r := x.permit(); r != nil {
-			if x.state.CompareAndSwap(exchangeNew, exchangeSealed) {
-				x.refused = r
-			}
-			return errWithheld
-		}
+	if r := x.obstacle(c); r != nil {
+		x.refused.Store(r)
+		x.seal()
+		return errWithheld
 	}
 	if !x.state.CompareAndSwap(exchangeNew, exchangeWritten) {
 		return errWithheld
@@ -51,6 +53,22 @@
 	return nil
 }
 
+// obstacle returns why the request must not be written, nil if it may. A
+// connection that the target has closed is found here, since after a write the
+// outcome would be unknown.
+func (x *exchange) obstacle(c *conn) *jujubegate.Refusal {
+	if c.desynchronized.Load() || !c.alive() {
+		x.stale.Store(true)
+		return &jujubegate.Refusal{
+			Reason: jujubegate.TargetDown, Outcome: jujubegate.NotRun, Detail: "the connection was closed",
+		}
+	}
+	if x.permit == nil {
+		return nil
+	}
+	return x.permit()
+}
+
 // seal prevents a later first write. It reports true if nothing was written,
 // which makes "not run" true.
 func (x *exchange) seal() bool {
@@ -62,6 +80,8 @@
 // the target answers or closes, so that the owner learns when the request ended.
 type conn struct {
 	net.Conn
+	// raw is nil if the connection has no file descriptor.
+	raw   syscall.RawConn
 	grace time.Duration
 	// ended is called once when the connection is fully closed.
 	ended func(c *conn)
@@ -74,16 +94,23 @@
 	closed  chan struct{}
 	// lost says that the target has closed the connection; guarded by the pool.
 	lost bool
+	// desynchronized is set after an answer to another request; no further
+	// request goes out on this connection.
+	desynchronized atomic.Bool
 }
 
 func newConn(c net.Conn, grace time.Duration, ended, broke func(*conn)) *conn {
-	return &conn{Conn: c, grace: grace, ended: ended, broke: broke, closed: make(chan struct{})}
+	n := &conn{Conn: c, grace: grace, ended: ended, broke: broke, closed: make(chan struct{})}
+	if s, ok := c.(syscall.Conn); ok {
+		n.raw, _ = s.SyscallConn()
+	}
+	return n
 }
 
 // Write asks for permission before the first byte of a request.
 func (c *conn) Write(b []byte) (int, error) {
 	if x := c.current.Load(); x != nil {
-		if err := x.begin(); err != nil {
+		if err := x.begin(c); err != nil {
 			return 0, err
 		}
 	}
@@ -101,6 +128,9 @@
 		return 0, net.ErrClosed
 	}
 	n, err := c.Conn.Read(b)
+	if x := c.current.Load(); x != nil && n > 0 {
+		x.received.Store(true)
+	}
 	if err != nil && !c.closing.Load() && c.broke != nil {
 		c.broke(c)
 	}
@@ -144,3 +174,19 @@
 	c.ended(c)
 	return err
 }
+
+// alive reports whether a connection without a request in flight is still open
+// at the target: a target sends nothing first, so that anything to read is its
+// close. Control is used because Read would wait for a Read in progress.
+func (c *conn) alive() bool {
+	if c.raw == nil {
+		return true
+	}
+	alive := false
+	err := c.raw.Control(func(fd uintptr) {
+		var b [1]byte
+		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		alive = errors.Is(err, syscall.EAGAIN)
+	})
+	return err == nil && alive
+}
--- a/dialer/dialer.go
+++ b/dialer/dialer.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"jujubegate.example/jujubegate"
@@ -24,6 +25,8 @@
 	pollTimeout = time.Second
 	// maxAnswer bounds the answer to a sub-request, in bytes.
 	maxAnswer = 8 << 20
+	// maxHeader bounds the header of an answer, in bytes.
+	maxHeader = 64 << 10
 	// maxLoad bounds a load report, in bytes.
 	maxLoad = 64 << 10
 )
@@ -49,7 +52,7 @@
 type Dialer struct {
 	settings  Settings
 	pool      *pool
-	transport *http.Transport
+	transport atomic.Pointer[http.Transport]
 	stop      context.CancelFunc
 	running   sync.WaitGroup
 }
@@ -67,24 +70,42 @@
 	ctx, stop := context.WithCancel(context.Background())
 	d := &Dialer{settings: settings, stop: stop}
 	d.pool = newPool(settings, string(settings.Target.Address))
-	d.transport = &http.Transport{
-		DialContext:         d.pool.dialContext,
-		MaxConnsPerHost:     settings.Connections,
-		MaxIdleConns:        settings.Connections,
-		MaxIdleConnsPerHost: settings.Connections,
-		DisableCompression:  true,
-	}
+	d.transport.Store(d.newTransport(settings.Connections))
 	d.running.Go(func() { d.pool.maintain(ctx) })
 	d.running.Go(func() { d.poll(ctx) })
 	return d
 }
 
+func (d *Dialer) newTransport(connections int) *http.Transport {
+	return &http.Transport{
+		DialContext:            d.pool.dialContext,
+		MaxConnsPerHost:        connections,
+		MaxIdleConns:           connections,
+		MaxIdleConnsPerHost:    connections,
+		MaxResponseHeaderBytes: maxHeader,
+		DisableCompression:     true,
+	}
+}
+
+// SetConnections replaces the number of connections that the target accepts,
+// for a changed declaration. Requests in flight finish on their connections.
+func (d *Dialer) SetConnections(connections int) {
+	connections = max(connections, 1)
+	old := d.transport.Load()
+	if connections == old.MaxConnsPerHost {
+		return
+	}
+	d.transport.Store(d.newTransport(connections))
+	old.CloseIdleConnections()
+}
+
 // SetBound sets how many connections may be open and how many are kept open
 // ahead of need. Connections in use above a lowered bound end with their request.
 func (d *Dialer) SetBound(bound, wanted int) {
-	bound = min(max(bound, 1), d.settings.Connections)
+	transport := d.transport.Load()
+	bound = min(max(bound, 1), transport.MaxConnsPerHost)
 	if d.pool.setBound(bound, min(wanted, bound)) {
-		d.transport.CloseIdleConnections()
+		transport.CloseIdleConnections()
 	}
 }
 
@@ -96,6 +117,6 @@
 func (d *Dialer) Close() {
 	d.stop()
 	d.pool.close()
-	d.transport.CloseIdleConnections()
+	d.transport.Load().CloseIdleConnections()
 	d.running.Wait()
 }
--- a/dialer/load.go
+++ b/dialer/load.go
@@ -44,7 +44,7 @@
 	if err != nil {
 		return Load{}, wrap.Wrapf(err, "make the request for the load report")
 	}
-	response, err := d.transport.RoundTrip(request)
+	response, err := d.transport.Load().RoundTrip(request)
 	if err != nil {
 		return Load{}, wrap.Wrapf(err, "read the load report")
 	}
--- a/dialer/pool.go
+++ b/dialer/pool.go
@@ -5,7 +5,6 @@
 	"errors"
 	"net"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/samber/oops"
@@ -256,24 +255,3 @@
 		p.drop(c)
 	}
 }
-
-// alive reports whether a connection that was never used is still open at the
-// target: a target sends nothing first, so that any readable state is its close.
-func (c *conn) alive() bool {
-	s, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return true
-	}
-	raw, err := s.SyscallConn()
-	if err != nil {
-		return false
-	}
-	alive := false
-	err = raw.Read(func(fd uintptr) bool {
-		var b [1]byte
-		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		alive = err == syscall.EAGAIN
-		return true
-	})
-	return err == nil && alive
-}
--- a/dialer/send.go
+++ b/dialer/send.go
@@ -9,6 +9,7 @@
 	"io"
 	"net/http"
 	"net/http/httptrace"
+	"syscall"
 	"time"
 
 	"jujubegate.example/jujubegate"
@@ -18,6 +19,10 @@
 // deadline has passed; any other cause is a cancellation.
 var ErrDeadline = errors.New("the deadline has passed")
 
+// maxStale is how many closed connections a request may meet before it is
+// refused. More closed ones than this mean that the target is restarting.
+const maxStale = 3
+
 // Result is the end of a request as this side sees it.
 type Result struct {
 	Answer Answer
@@ -40,48 +45,75 @@
 
 func (requestBody) Close() error { return nil }
 
-// Send sends a request and waits for its end. It makes one attempt. Cancelling
-// the context closes the connection, which cancels the request at the target.
+// Send sends a request and waits for its end. It is written at most once;
+// a connection that turns out to be closed before the first byte is replaced.
+// Cancelling the context closes the connection, which cancels the request at
+// the target.
 func (d *Dialer) Send(ctx context.Context, r Request) Result {
 	if len(r.Body) > 0 && !json.Valid(r.Body) {
 		return Result{Refusal: &jujubegate.Refusal{
 			Reason: jujubegate.BadRequest, Outcome: jujubegate.NotRun, Detail: "the body is not a JSON value",
 		}}
 	}
-	path := "/query"
-	if r.Order {
-		path = "/order"
+	for range maxStale {
+		result, stale := d.attempt(ctx, &r)
+		if !stale {
+			return result
+		}
 	}
+	result, _ := d.attempt(ctx, &r)
+	return result
+}
+
+// attempt makes one exchange and reports whether nothing was written because
+// the connection was closed.
+func (d *Dialer) attempt(ctx context.Context, r *Request) (result Result, stale bool) {
 	started := d.settings.Clock.Now()
-	body := r.encode(started)
 	x := &exchange{permit: r.Permit}
 	var used *conn
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
 		used = info.Conn.(*conn)
 		used.current.Store(x)
 	}})
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, d.url(path), requestBody{bytes.NewReader(body)})
+	request, err := d.newRequest(ctx, r, started)
 	if err != nil {
 		return Result{Refusal: &jujubegate.Refusal{
 			Reason: jujubegate.BadRequest, Outcome: jujubegate.NotRun, Detail: err.Error(),
-		}}
+		}}, false
 	}
-	request.ContentLength = int64(len(body))
-	request.Header["Content-Type"] = jsonContent
 	status, content, err := d.roundTrip(request)
-	result := Result{ServiceTime: d.settings.Clock.Since(started)}
+	result.ServiceTime = d.settings.Clock.Since(started)
 	if err != nil {
 		result.Refusal = failure(ctx, err, x)
 		result.Unreachable = errors.Is(err, ErrUnreachable)
 		if used != nil && !x.seal() {
 			result.Closed = used.closed
 		}
-		return result
+		return result, x.stale.Load() && result.Closed == nil
 	}
 	used.current.CompareAndSwap(x, nil)
 	result.Replied = true
-	result.Answer, result.Refusal = decode(&r, status, content)
-	return result
+	result.Answer, result.Refusal = decode(r, status, content)
+	if result.Refusal != nil && result.Refusal.Reason == jujubegate.BadAnswer {
+		used.desynchronized.Store(true)
+		_ = used.Close()
+	}
+	return result, false
+}
+
+func (d *Dialer) newRequest(ctx context.Context, r *Request, now time.Time) (*http.Request, error) {
+	path := "/query"
+	if r.Order {
+		path = "/order"
+	}
+	body := r.encode(now)
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, d.url(path), requestBody{bytes.NewReader(body)})
+	if err != nil {
+		return nil, err
+	}
+	request.ContentLength = int64(len(body))
+	request.Header["Content-Type"] = jsonContent
+	return request, nil
 }
 
 var jsonContent = []string{"application/json"}
@@ -94,7 +126,7 @@
 // roundTrip makes one exchange and reads the whole response. The transport is
 // used directly, since http.Client follows redirects.
 func (d *Dialer) roundTrip(request *http.Request) (status int, content []byte, err error) {
-	response, err := d.transport.RoundTrip(request)
+	response, err := d.transport.Load().RoundTrip(request)
 	if err != nil {
 		return 0, nil, err
 	}
@@ -123,8 +155,8 @@
 	r := &jujubegate.Refusal{Outcome: jujubegate.Unknown, Detail: err.Error()}
 	if x.seal() {
 		r.Outcome = jujubegate.NotRun
-		if x.refused != nil {
-			return x.refused
+		if refused := x.refused.Load(); refused != nil {
+			return refused
 		}
 	}
 	switch cause := context.Cause(ctx); {
@@ -132,6 +164,8 @@
 		r.Reason = jujubegate.BadAnswer
 	case cause == nil && errors.Is(err, errNoConnection):
 		r.Reason = jujubegate.Overloaded
+	case cause == nil && x.received.Load() && !closedByTarget(err):
+		r.Reason = jujubegate.BadAnswer
 	case cause == nil:
 		r.Reason = jujubegate.TargetDown
 	case errors.Is(cause, ErrDeadline) || errors.Is(cause, context.DeadlineExceeded):
@@ -142,6 +176,11 @@
 	return r
 }
 
+// closedByTarget reports whether an exchange ended by the close of its connection.
+func closedByTarget(err error) bool {
+	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET)
+}
+
 var refusals = map[string]jujubegate.Reason{
 	"SnapshotNotHeld": jujubegate.SnapshotNotHeld,
 	"Shed":            jujubegate.Shed,
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -38,6 +38,8 @@
 	Send func(ctx context.Context, r dialer.Request) dialer.Result
 	// SetBound sets how many connections may be open, and are opened ahead.
 	SetBound func(bound, wanted int)
+	// SetConnections sets how many connections the target accepts.
+	SetConnections func(connections int)
 	// Close closes the connections.
 	Close func()
 }
@@ -109,7 +111,7 @@
 	d := dialer.New(dialer.Settings{
 		Target: t, Connections: connections, Clock: clock, Loaded: e.Loaded, Restarted: e.Restarted,
 	})
-	return Link{Send: d.Send, SetBound: d.SetBound, Close: d.Close}
+	return Link{Send: d.Send, SetBound: d.SetBound, SetConnections: d.SetConnections, Close: d.Close}
 }
 
 // Update sets the owned targets and the declarations of their services. Added
--- a/dispatcher/lane.go
+++ b/dispatcher/lane.go
@@ -67,14 +67,21 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	replaced := l.target.Version != t.Version || l.target.Service != t.Service || l.target.Shard != t.Shard
-	l.target, l.spec = t, spec
-	l.limiter.SetSettings(bounds(spec))
+	l.declare(t, spec)
 	if replaced {
 		l.limiter.Restarted(now)
 	}
 	l.pump(now)
 }
 
+func (l *lane) declare(t jujubegate.Target, spec configurator.ServiceSpec) {
+	if spec.Connections != l.spec.Connections {
+		l.link.SetConnections(spec.Connections)
+	}
+	l.target, l.spec = t, spec
+	l.limiter.SetSettings(bounds(spec))
+}
+
 // retire refuses the queue and lets the requests in flight end. The returned
 // channel is closed when they have ended, or when the lane is revived.
 func (l *lane) retire(now time.Time) <-chan struct{} {
@@ -100,8 +107,7 @@
 	l.retired = false
 	close(l.idle)
 	l.idle = nil
-	l.target, l.spec = t, spec
-	l.limiter.SetSettings(bounds(spec))
+	l.declare(t, spec)
 	l.limiter.Restarted(now)
 	l.adjust(now)
 	return true
