Take four slow answers in a row for a cold start, not two

Cause: with 1 in 100 sub-requests 20 times slower, two stragglers in a row on one target were taken for a cold start. At the cold limit of 1 a further straggler holds up all queued sub-requests; traces of slow queries showed both targets of one shard with queues of 80 to 130 ms and service times of 5 ms. Ruled out: slots held by cancelled requests (the half-closed connection frees them at once) and missing hedge tokens. Change: signsOfCold is 4. The limit is clamped to the cold limit from the first sign on, as before, so that a cold target gets no more than before.

--- a/limiter/ramp.go
+++ b/limiter/ramp.go
@@ -32,8 +32,10 @@
 	// once a second.
 	reportValidity = 5 * time.Second
 	// signsOfCold is the number of consecutive slow answers or time-outs after
-	// which a warm target is cold. The first one already clamps the limit.
-	signsOfCold = 2
+	// which a warm target is cold. The first one already clamps the limit, so
+	// that a larger number admits no more requests. With 2, pairs of stragglers
+	// turned targets cold and let queues of 100 ms build up.
+	signsOfCold = 4
 	// relearnAfter is the number of answers above the known service time after
 	// which that of a target that reports Warm is learned anew: its data has
 	// grown. Without a report it takes unreportedFactor times as many. An answer
--- a/measurer/bench.go
+++ b/measurer/bench.go
@@ -103,9 +103,9 @@
 	return nil
 }
 
-// set returns a control message that sets fields of the settings.
-func set(format string, values ...any) target.Control {
-	return target.Control{Set: json.RawMessage(fmt.Sprintf(format, values...))}
+// set returns a control message that sets fields of the settings, given as JSON.
+func set(fields string) target.Control {
+	return target.Control{Set: json.RawMessage(fields)}
 }
 
 // extraLoad returns the hedges and retries, and the first tries, so far.
@@ -117,8 +117,8 @@
 		}
 		extra += value
 	}
-	first, err = b.Sum(ctx, "SubRequests")
-	return extra, first, err
+	all, err := b.Sum(ctx, "SubRequests")
+	return extra, all - extra, err
 }
 
 // Measurement is one named group of figures.
