--- a/configurator/change.go
+++ b/configurator/change.go
@@ -1,6 +1,7 @@
 package configurator
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
 	"time"
@@ -42,11 +43,13 @@
 
 // encode returns the change as JSON.
 func (c Change) encode() ([]byte, error) {
-	value, err := json.Marshal(c)
-	if err != nil {
+	var value bytes.Buffer
+	encoder := json.NewEncoder(&value)
+	encoder.SetEscapeHTML(false) // "<" would take six bytes
+	if err := encoder.Encode(c); err != nil {
 		return nil, fmt.Errorf("encode change %d: %w", c.Generation, err)
 	}
-	return value, nil
+	return bytes.TrimSuffix(value.Bytes(), []byte("\n")), nil
 }
 
 // decodeChange returns the change in an object.
--- a/configurator/state.go
+++ b/configurator/state.go
@@ -12,6 +12,10 @@
 // token of a proposal that is sent again.
 const maxRecent = 256
 
+// maxRecentBytes bounds the memory that recent changes take. 256 batches of
+// the largest size would take 128 MB, four times the budget of a node.
+const maxRecentBytes = 4 << 20
+
 // state is an immutable configuration with the changes that led to it.
 type state struct {
 	configuration Configuration
@@ -34,10 +38,6 @@
 	if err != nil {
 		return s, err
 	}
-	recent := append(slices.Clone(s.recent), change)
-	if len(recent) > maxRecent {
-		recent = recent[len(recent)-maxRecent:]
-	}
 	tokens := maps.Clone(s.tokens)
 	if tokens == nil {
 		tokens = make(map[string]jujubegate.Generation)
@@ -46,7 +46,20 @@
 		return g <= change.Generation-maxRecent
 	})
 	tokens[change.Token] = change.Generation
-	return &state{configuration: c, recent: recent, tokens: tokens}, nil
+	return &state{configuration: c, recent: trim(append(slices.Clone(s.recent), change)), tokens: tokens}, nil
+}
+
+// trim returns the newest changes within both limits, at least the last one.
+func trim(changes []Change) []Change {
+	first, size := len(changes)-1, len(changes[len(changes)-1].Statements)
+	for first > 0 && len(changes)-first < maxRecent {
+		size += len(changes[first-1].Statements)
+		if size > maxRecentBytes {
+			break
+		}
+		first--
+	}
+	return changes[first:]
 }
 
 // known returns the change of a generation if it is kept.
