Test the stand-in of targets and use the usual terms in it

Cause: the tests of dispatching, hedging and version moves rely on the faults of this stand-in; some names in it were private ones.

--- a/standin/target/control.go
+++ b/standin/target/control.go
@@ -44,11 +44,11 @@
 	t.changed = make(chan struct{})
 	t.mu.Unlock()
 	if k.TurnCold || k.TurnWarm {
-		t.gate.setCold(k.TurnCold)
+		t.limiter.setCold(k.TurnCold)
 	}
 	if k.Restart || next.Down && !before.Down {
 		t.stats.add(func(c *Stats) { c.Restarts++ })
-		t.gate.drop(&next)
+		t.limiter.drop(&next)
 		t.listener.closeAll()
 	}
 	if k.ResetStats {
@@ -106,7 +106,7 @@
 
 // load returns the true load report.
 func (t *Target) load(s *Settings) Load {
-	cold, inUse, _ := t.gate.state(s)
+	cold, inUse, _ := t.limiter.state(s)
 	l := Load{State: "Warm", InUse: inUse, Slots: s.Slots, Snapshots: []int64{}, Version: s.Version}
 	switch {
 	case s.Draining:
--- a/standin/target/handle.go
+++ b/standin/target/handle.go
@@ -32,7 +32,7 @@
 		return t.refuse(c, r, refusal)
 	}
 	ctx := c.Request().Context()
-	a, err := t.gate.enter(ctx, s, now.Add(milliseconds(r.DeadlineMs)))
+	a, err := t.limiter.enter(ctx, s, now.Add(milliseconds(r.DeadlineMs)))
 	if errors.As(err, &refusal) {
 		return t.refuse(c, r, refusal)
 	}
@@ -85,13 +85,13 @@
 // run takes the service time. It returns a refusal if a fault says so, and
 // aborts the connection if the request was cancelled or dropped.
 func (t *Target) run(ctx context.Context, s *Settings, r Request, a *admission) *Refusal {
-	took := t.dice.serviceTime(s)
+	took := t.sampler.serviceTime(s)
 	if a.cold && s.ColdFactor > 0 {
 		took = time.Duration(float64(took) * s.ColdFactor)
 	}
 	failed := false
 	for _, f := range s.Faults {
-		if !t.struck(f, r, a) {
+		if !t.applies(f, r, a) {
 			continue
 		}
 		switch f.Kind {
@@ -101,7 +101,7 @@
 			took = time.Duration(float64(took) * f.Factor)
 		}
 	}
-	if !t.wait(ctx, a.life.over, took) || !t.unstalled(ctx, a.life.over) {
+	if !t.wait(ctx, a.incarnation.ended, took) || !t.unstalled(ctx, a.incarnation.ended) {
 		t.abort()
 	}
 	if failed {
@@ -110,8 +110,8 @@
 	return nil
 }
 
-// struck reports whether a fault concerns the request.
-func (t *Target) struck(f Fault, r Request, a *admission) bool {
+// applies reports whether a fault concerns the request.
+func (t *Target) applies(f Fault, r Request, a *admission) bool {
 	t.mu.Lock()
 	since := t.faultsSince
 	t.mu.Unlock()
@@ -121,11 +121,11 @@
 		t.clock.Since(since) < milliseconds(f.AfterMs):
 		return false
 	}
-	return f.Share == 0 || t.dice.hit(f.Share)
+	return f.Share == 0 || t.sampler.hit(f.Share)
 }
 
 // unstalled waits while the target is stalled.
-func (t *Target) unstalled(ctx context.Context, over <-chan struct{}) bool {
+func (t *Target) unstalled(ctx context.Context, ended <-chan struct{}) bool {
 	for {
 		t.mu.Lock()
 		changed := t.changed
@@ -135,7 +135,7 @@
 		}
 		select {
 		case <-changed:
-		case <-over:
+		case <-ended:
 			return false
 		case <-ctx.Done():
 			return false
@@ -151,16 +151,16 @@
 	t.lastRequest = r.RequestID
 	t.mu.Unlock()
 	switch {
-	case order && t.dice.hit(s.LostOrderShare):
+	case order && t.sampler.hit(s.LostOrderShare):
 		t.stats.add(func(c *Stats) { c.LostOrders++ })
 		panic(http.ErrAbortHandler)
-	case t.dice.hit(s.GarbageShare):
+	case t.sampler.hit(s.GarbageShare):
 		t.stats.add(func(c *Stats) { c.Garbled++ })
 		return c.Blob(http.StatusOK, echo.MIMEApplicationJSON, []byte("{\"RequestId\": \x00\xff garbage"))
-	case t.dice.hit(s.ForeignShare):
+	case t.sampler.hit(s.ForeignShare):
 		t.stats.add(func(c *Stats) { c.Garbled++ })
 		a.RequestID = other
-	case t.dice.hit(s.WrongSnapshotShare):
+	case t.sampler.hit(s.WrongSnapshotShare):
 		t.stats.add(func(c *Stats) { c.Garbled++ })
 		a.Snapshot++
 	}
--- /dev/null
+++ b/standin/target/limiter_test.go
@@ -0,0 +1,77 @@
+package target
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+func TestLimiterKeepsItsSlots(t *testing.T) {
+	// Guards against a slot that is lost or given twice when a waiting request
+	// is cancelled while it gets the slot, or when the target falls over.
+	Convey("After requests that are cancelled at random times all slots are free", t, func() {
+		s := &Settings{Slots: 3, QueueLength: 8}
+		g := newLimiter(clockwork.NewRealClock(), s, func() {})
+		var wg sync.WaitGroup
+		for seed := range uint64(8) {
+			wg.Go(func() {
+				random := rand.New(rand.NewPCG(seed, seed))
+				for range 3000 {
+					ctx, cancel := context.WithCancel(context.Background())
+					stop := time.AfterFunc(time.Duration(random.IntN(40))*time.Microsecond, cancel)
+					a, err := g.enter(ctx, s, time.Now().Add(time.Minute))
+					if err == nil {
+						if a.inFlight < 1 || a.inFlight > s.Slots {
+							t.Errorf("%d requests run in %d slots", a.inFlight, s.Slots)
+						}
+						time.Sleep(time.Duration(random.IntN(20)) * time.Microsecond)
+						a.release(s, true)
+					}
+					if seed == 0 && random.IntN(200) == 0 {
+						g.drop(s)
+					}
+					stop.Stop()
+					cancel()
+				}
+			})
+		}
+		wg.Wait()
+		_, inUse, queued := g.state(s)
+		So(inUse, ShouldEqual, 0)
+		So(queued, ShouldEqual, 0)
+	})
+}
+
+func TestLimiterIsClosedWhileDown(t *testing.T) {
+	// Guards against requests on surviving connections that run, or count as
+	// another overload, while the target restarts.
+	Convey("A request during the restart is dropped", t, func() {
+		clock := clockwork.NewFakeClock()
+		s := &Settings{Slots: 2, ColdLimit: 1, RestartMs: 100}
+		overloads := 0
+		g := newLimiter(clock, s, func() { overloads++ })
+		enter := func() (*admission, error) {
+			return g.enter(context.Background(), s, clock.Now().Add(time.Second))
+		}
+		first, err := enter()
+		So(err, ShouldBeNil)
+		_, err = enter()
+		So(errors.Is(err, errRestarted), ShouldBeTrue)
+		first.release(s, true)
+		for range 3 {
+			_, err = enter()
+			So(errors.Is(err, errRestarted), ShouldBeTrue)
+		}
+		So(overloads, ShouldEqual, 1)
+		clock.Advance(100 * time.Millisecond)
+		_, err = enter()
+		So(err, ShouldBeNil)
+		So(overloads, ShouldEqual, 1)
+	})
+}
--- a/standin/target/listener.go
+++ b/standin/target/listener.go
@@ -31,7 +31,7 @@
 
 func (l *listener) add(accepted net.Conn) (*conn, bool) {
 	s := l.target.settings.Load()
-	down := s.Down || l.target.gate.down()
+	down := s.Down || l.target.limiter.down()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	full := s.Connections > 0 && len(l.conns) >= s.Connections
--- a/standin/target/settings.go
+++ b/standin/target/settings.go
@@ -78,7 +78,7 @@
 	Seed uint64
 
 	// ColdLimit is the number of requests, running and waiting, that the
-	// target bears while it is cold. One more makes it fall over: it drops all
+	// target handles while it is cold. One more makes it fall over: it drops all
 	// connections, is down for RestartMs and starts cold. 0 means that the
 	// target is never cold.
 	ColdLimit int
--- a/standin/target/stats.go
+++ b/standin/target/stats.go
@@ -36,7 +36,7 @@
 	Routes  map[string]int64
 	// Cancelled counts requests whose connection was closed before the answer.
 	Cancelled int64
-	// ColdOverload counts the times that a cold target fell over.
+	// ColdOverload counts the times that load made a cold target fall over.
 	ColdOverload int64
 	// Restarts counts all restarts, including those on command.
 	Restarts int64
--- a/standin/target/target.go
+++ b/standin/target/target.go
@@ -35,9 +35,9 @@
 	clock    jujubegate.Clock
 	log      *zap.Logger
 	settings atomic.Pointer[Settings]
-	gate     *gate
+	limiter  *limiter
 	stats    *stats
-	dice     *dice
+	sampler  *sampler
 	listener *listener
 	server   *http.Server
 	served   chan struct{}
@@ -64,13 +64,13 @@
 		clock:       clock,
 		log:         log,
 		stats:       newStats(),
-		dice:        newDice(s.Seed),
+		sampler:     newSampler(s.Seed),
 		served:      make(chan struct{}),
 		changed:     make(chan struct{}),
 		faultsSince: clock.Now(),
 	}
 	t.settings.Store(&s)
-	t.gate = newGate(clock, &s, t.fallOver)
+	t.limiter = newLimiter(clock, &s, t.overloaded)
 	t.listener = &listener{Listener: inner, target: t, conns: map[*conn]struct{}{}}
 	t.server = &http.Server{Handler: t.routes(), ReadHeaderTimeout: time.Minute}
 	go func() {
@@ -116,7 +116,7 @@
 	c.Address, c.Service, c.Shard, c.DataCentre, c.Version = s.Address, s.Service, s.Shard, s.DataCentre, s.Version
 	load := t.load(s)
 	c.State, c.InFlight = load.State, load.InUse
-	_, _, c.Queued = t.gate.state(s)
+	_, _, c.Queued = t.limiter.state(s)
 	c.Connections = t.listener.open()
 	return c
 }
@@ -133,8 +133,8 @@
 	return oops.In("target").Wrap(err)
 }
 
-// fallOver counts the overload of a cold target and drops all connections.
-func (t *Target) fallOver() {
+// overloaded counts the overload of a cold target and drops all connections.
+func (t *Target) overloaded() {
 	t.stats.add(func(c *Stats) {
 		c.ColdOverload++
 		c.Restarts++
@@ -143,12 +143,13 @@
 	t.listener.closeAll()
 }
 
-// wait returns false if the wait ended early: the context or the life is over.
-func (t *Target) wait(ctx context.Context, over <-chan struct{}, d time.Duration) bool {
+// wait returns false if the wait ended early: the context
+// or the incarnation ended.
+func (t *Target) wait(ctx context.Context, ended <-chan struct{}, d time.Duration) bool {
 	select {
 	case <-t.clock.After(d):
 		return true
-	case <-over:
+	case <-ended:
 	case <-ctx.Done():
 	}
 	return false
