--- a/cmd/platformstandin/main.go
+++ b/cmd/platformstandin/main.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"os"
@@ -33,7 +34,7 @@
 	}
 	log, err := zap.NewProduction()
 	if err == nil {
-		err = run(o, log)
+		err = run(o, os.Stdout, log)
 	}
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "platformstandin:", err)
@@ -41,7 +42,8 @@
 	}
 }
 
-func run(o options, log *zap.Logger) error {
+// run serves until SIGTERM. It prints the address to out.
+func run(o options, out io.Writer, log *zap.Logger) error {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	l, err := net.Listen("tcp", o.Listen)
@@ -52,7 +54,9 @@
 	s := &http.Server{Handler: p, ReadHeaderTimeout: time.Minute}
 	failed := make(chan error, 1)
 	go func() { failed <- s.Serve(l) }()
-	fmt.Println("listening", l.Addr())
+	if _, err := fmt.Fprintln(out, "listening", l.Addr()); err != nil {
+		return errors.Join(err, s.Close(), <-failed)
+	}
 	log.Info("platform: listening", zap.Stringer("address", l.Addr()))
 	select {
 	case err := <-failed:
--- a/cmd/targetstandin/main.go
+++ b/cmd/targetstandin/main.go
@@ -2,10 +2,12 @@
 package main
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"os"
 	"os/signal"
@@ -32,7 +34,7 @@
 	Connections   int           `long:"connections" default:"25" description:"connections that a target accepts"`
 	ConnectMs     float64       `long:"connect-ms" default:"6" description:"set-up cost of a connection in ms"`
 	ServiceTimeMs float64       `long:"service-time-ms" default:"5" description:"median service time in ms"`
-	ColdLimit     int           `long:"cold-limit" default:"1" description:"requests that a cold target bears; 0 starts warm"`
+	ColdLimit     int           `long:"cold-limit" default:"1" description:"requests that a cold target handles; 0 starts warm"`
 	Snapshot      int64         `long:"snapshot" default:"1" description:"snapshot held at the start"`
 	Seed          uint64        `long:"seed" default:"1" description:"seed of the first target; the others count up"`
 	StopTimeout   time.Duration `long:"stop-timeout" default:"5s" description:"time for requests in flight after SIGTERM"`
@@ -48,7 +50,7 @@
 	}
 	log, err := zap.NewProduction()
 	if err == nil {
-		err = run(o, log)
+		err = run(o, os.Stdout, log)
 	}
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "targetstandin:", err)
@@ -56,7 +58,8 @@
 	}
 }
 
-func run(o options, log *zap.Logger) error {
+// run serves until SIGTERM. It prints a line per target to out.
+func run(o options, out io.Writer, log *zap.Logger) error {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	all, err := o.settings()
@@ -69,7 +72,9 @@
 	}
 	for _, t := range fleet.Targets() {
 		s := t.Settings()
-		fmt.Println("listening", s.Address, s.Service, s.Shard, s.DataCentre, s.Version)
+		if _, err := fmt.Fprintln(out, "listening", s.Address, s.Service, s.Shard, s.DataCentre, s.Version); err != nil {
+			return errors.Join(err, fleet.Close(ctx))
+		}
 	}
 	<-ctx.Done()
 	log.Info("target: stopping")
@@ -113,7 +118,9 @@
 	for i, r := range raw {
 		all[i] = target.DefaultSettings()
 		all[i].Snapshots = nil
-		if err := json.Unmarshal(r, &all[i]); err != nil {
+		d := json.NewDecoder(bytes.NewReader(r))
+		d.DisallowUnknownFields()
+		if err := d.Decode(&all[i]); err != nil {
 			return nil, fmt.Errorf("%s: target %d: %w", path, i, err)
 		}
 		if all[i].Snapshots == nil {
