Test membership and ownership under random faults

Cause: the takeover rule must hold under loss, partitions, pauses, restarts, clock rates and store faults, also while the configuration changes. Change: a fake network, store and platform list in virtual time drive the decision core and Ownership; every event checks that no target has two senders, and 10 s after the faults end that each has one. Negative controls break one rule each. Fixed on the way: a process knows that an earlier one at its own address has ended, and an answer proves the end of all processes known at the address before, not only of the one that the heartbeat was meant for.

--- a/assigner/ownership.go
+++ b/assigner/ownership.go
@@ -16,19 +16,16 @@
 //
 // It may if its serving lease holds, the assignment under the view in force
 // names it, every open view that names another owner is closed or that owner
-// released, and no instance with an earlier configuration can still decide
-// otherwise.
+// released, and no instance with another configuration can decide otherwise.
 //
 // The last condition fences changes of the configuration. Two instances that
 // have the same view but different target lists can name different owners. The
-// instance with the later list waits: a target counts from the generation at
-// which this instance first had to be its owner, and is used only once all
-// other instances that could own it have reported that generation. The
-// instance with the earlier list keeps the target until it follows. A target
-// keeps its generation while the owners under the view in force and the open
-// views stay the same from one generation to the next. After a new view, or
-// if generations were skipped, all targets count from the latest change, since
-// the owners in between are not known.
+// instance with the later list waits: for the view in force and each open one
+// it knows the generation since which the owner of the target is the same, and
+// it uses the target only once all members that may act under that view have
+// reported this generation. The instance with the earlier list keeps the
+// target until it follows. Under a view that is new here, or if generations
+// were skipped, this is the generation of the latest change of the list.
 type Ownership struct {
 	state  func() *leaser.State
 	logger *zap.Logger
@@ -41,29 +38,20 @@
 	generation, changed jujubegate.Generation
 }
 
-// table is the ownership under one view and one target list.
+// table is the ownership under one view and its open views, for one target list.
 type table struct {
 	epoch      jujubegate.Epoch
 	generation jujubegate.Generation
-	changed    jujubegate.Generation
 	assignment Assignment
-	entries    map[jujubegate.Address]entry
+	entries    map[jujubegate.Address][]owned
 }
 
-// entry is what is known of one target.
-type entry struct {
-	own bool
-	// since is the generation that all instances must have.
-	since jujubegate.Generation
-	owner leaser.ID
-	// before lists the owners under the open views that aren't this instance.
-	before []previous
-}
-
-// previous is the owner of a target under an open view.
-type previous struct {
-	owner leaser.ID
+// owned is the owner of a target under one view.
+type owned struct {
 	epoch jujubegate.Epoch
+	owner leaser.ID
+	// since is the generation from which on the owner is known to be the same.
+	since jujubegate.Generation
 }
 
 // NewOwnership returns an ownership without targets. The state is that of the
@@ -111,23 +99,27 @@
 	if !s.Owns(now) {
 		return false
 	}
-	e, ok := t.entries[address]
-	if !ok || !e.own || s.Agreed < e.since {
+	owners := t.entries[address]
+	if len(owners) == 0 {
+		return false
+	}
+	current := owners[0]
+	if current.owner != s.Self.ID() || s.Agreed < current.since {
 		return false
 	}
-	for _, b := range e.before {
-		if !yielded(s, b, t.generation, now) {
+	for _, o := range owners[1:] {
+		if !yielded(s, o, t.generation, now) {
 			return false
 		}
 	}
 	return true
 }
 
-// yielded reports whether a previous owner can no longer act.
-func yielded(s *leaser.State, b previous, generation jujubegate.Generation, now time.Time) bool {
+// yielded reports whether no other instance can act on a target under an open view.
+func yielded(s *leaser.State, o owned, generation jujubegate.Generation, now time.Time) bool {
 	for _, open := range s.Open {
-		if open.View.Epoch == b.epoch {
-			return s.Yielded(b.owner, open, generation, now)
+		if open.View.Epoch == o.epoch {
+			return open.Closed(now) || open.Agreed >= o.since && s.Yielded(o.owner, open, generation, now)
 		}
 	}
 	return true
@@ -176,47 +168,42 @@
 // next generation.
 func (o *Ownership) rebuild(s *leaser.State, step bool) *table {
 	last := o.table.Load()
-	step = step && last.epoch == s.View.Epoch
 	t := &table{
-		epoch: s.View.Epoch, generation: o.generation, changed: o.changed,
+		epoch: s.View.Epoch, generation: o.generation,
 		assignment: Assign(s.View, o.targets),
-		entries:    make(map[jujubegate.Address]entry, len(o.targets)),
+		entries:    make(map[jujubegate.Address][]owned, len(o.targets)),
 	}
-	before := make([]Assignment, len(s.View.Open))
-	for i, v := range s.View.Open {
-		before[i] = Assign(v, o.targets)
-	}
-	moved := 0
-	for _, target := range o.targets {
-		e := entry{since: o.changed}
-		if m, ok := t.assignment.Owner(target.Address); ok {
-			e.owner = m.ID()
-			e.own = e.owner == s.Self.ID()
-		}
-		for i, v := range s.View.Open {
-			if m, ok := before[i].Owner(target.Address); ok && m.ID() != s.Self.ID() {
-				e.before = append(e.before, previous{m.ID(), v.Epoch})
-			}
-		}
-		was, known := last.entries[target.Address]
-		if known && step && was.sameOwners(e) {
-			e.since = was.since
-		}
-		if e.own && !was.own {
-			moved++
-		}
-		t.entries[target.Address] = e
+	known := step || last.generation == o.generation
+	o.add(t, last, s.View, t.assignment, known)
+	for _, v := range s.View.Open {
+		o.add(t, last, v, Assign(v, o.targets), known)
 	}
 	o.table.Store(t)
 	o.logger.Info("assigner: targets assigned", zap.Int64("epoch", int64(t.epoch)),
 		zap.Int64("generation", int64(t.generation)), zap.Int("targets", len(o.targets)),
-		zap.Int("own", len(t.assignment.Owned(s.Self.Instance))), zap.Int("taken", moved))
+		zap.Int("own", len(t.assignment.Owned(s.Self.Instance))))
 	return t
 }
 
-// sameOwners reports whether the owners under all views are the same.
-func (e entry) sameOwners(f entry) bool {
-	return e.owner == f.owner && slices.Equal(e.before, f.before)
+// add records the owners under one view. An owner is known to be the same since
+// the generation of the last table if that had the view, and the generation is
+// the same or the next one.
+func (o *Ownership) add(t, last *table, v leaser.View, a Assignment, known bool) {
+	for _, target := range o.targets {
+		m, ok := a.Owner(target.Address)
+		if !ok {
+			continue
+		}
+		e := owned{epoch: v.Epoch, owner: m.ID(), since: o.changed}
+		if known {
+			for _, was := range last.entries[target.Address] {
+				if was.epoch == e.epoch && was.owner == e.owner {
+					e.since = was.since
+				}
+			}
+		}
+		t.entries[target.Address] = append(t.entries[target.Address], e)
+	}
 }
 
 // sameTargets reports whether two target lists assign alike. The version of a
--- a/leaser/core.go
+++ b/leaser/core.go
@@ -53,6 +53,8 @@
 	noMajority    bool
 	leaseOnAnswer bool
 	ignoreOpen    bool
+	noFence       bool
+	keepLease     bool
 }
 
 // openView is an earlier view and what is known of its end.
@@ -69,8 +71,13 @@
 	// leaseAt is the send time of the newest heartbeat whose answer named no
 	// epoch later than the view in force.
 	leaseAt time.Time
-	// memberAt is the time since which the peer is a member of the view.
-	memberAt time.Time
+	// agreed is the generation that counts as reported, and pending one that
+	// was reported at pendingAt and counts later.
+	agreed, pending jujubegate.Generation
+	pendingAt       time.Time
+	// knownAt is the time of the first message from or about the peer, and
+	// memberAt that since which it is a member of the view.
+	knownAt, memberAt time.Time
 }
 
 // goneEvidence is what the platform's list says of one start of an instance.
@@ -216,9 +223,7 @@
 	if id == c.self.ID() {
 		return e
 	}
-	if to.Incarnation != "" && id != to.ID() {
-		c.end(to.ID())
-	}
+	c.endOthers(to.PeerAddress, id, sentAt)
 	p := c.learn(now, HeartbeatRequest{
 		Sender: a.Receiver, Epoch: a.Epoch, Generation: a.Generation, Suspected: a.Suspected,
 		Settled: a.Settled, Released: a.Released,
@@ -274,7 +279,7 @@
 	id := r.Sender.ID()
 	p := c.peers[id]
 	if p == nil {
-		p = &peer{}
+		p = &peer{knownAt: now}
 		c.peers[id] = p
 	}
 	p.Member = r.Sender
@@ -286,6 +291,7 @@
 		p.ReleasedGeneration = r.Generation
 	}
 	p.suspected = r.Suspected
+	c.agree(p, now)
 	c.newest = max(c.newest, r.Epoch)
 	c.settled = max(c.settled, r.Settled)
 	if g := c.gone[id]; g != nil {
@@ -294,6 +300,16 @@
 	return p
 }
 
+// endOthers records that the processes known to have listened on an address
+// before the send time have ended, as another one answered there.
+func (c *core) endOthers(address string, answered ID, sentAt time.Time) {
+	for id, p := range c.peers {
+		if id != answered && p.Member.PeerAddress == address && !p.knownAt.After(sentAt) {
+			c.end(id)
+		}
+	}
+}
+
 // end records that the process of a start of an instance has ended.
 func (c *core) end(id ID) {
 	c.ended[id] = true
@@ -357,22 +373,24 @@
 		}
 		c.open = append(c.open, entry)
 	}
-	c.newest = max(c.newest, v.Epoch)
-	c.proposalAt = time.Time{}
-	for _, m := range v.Members {
-		if m.ID() == c.self.ID() {
-			continue
-		}
+	was := c.view
+	c.view = v
+	for _, m := range c.owners() {
 		p := c.peers[m.ID()]
 		if p == nil {
-			p = &peer{Peer: Peer{Member: m, Ended: c.ended[m.ID()]}}
+			p = &peer{Peer: Peer{Member: m}, knownAt: now}
 			c.peers[m.ID()] = p
 		}
-		if !c.view.Has(m.ID()) {
+		if !was.Has(m.ID()) {
 			p.memberAt = now
 		}
+		// This process listens on its address, so an earlier one there has ended.
+		if m.PeerAddress == c.self.PeerAddress {
+			c.end(m.ID())
+		}
 	}
-	c.view = v
+	c.newest = max(c.newest, v.Epoch)
+	c.proposalAt = time.Time{}
 	c.settle(now)
 	return true
 }
--- /dev/null
+++ b/leaser/export_test.go
@@ -0,0 +1,65 @@
+package leaser
+
+import (
+	"time"
+
+	"jujubegate.example/jujubegate"
+)
+
+// Faults breaks single rules of the decision core.
+type Faults struct{ NoWait, NoMajority, LeaseOnAnswer, IgnoreOpen, NoFence, KeepLease bool }
+
+// Core gives tests in other packages access to the decision core.
+type Core struct{ c *core }
+
+// Effects and Write are the outputs of the core.
+type (
+	Effects struct {
+		Heartbeats         []Member
+		ReadView, ReadList bool
+		Write              *Write
+	}
+	Write struct {
+		View    View
+		Version int64
+	}
+)
+
+func NewCore(self Member, f Faults) *Core {
+	c := newCore(self, DefaultTiming())
+	c.faults = faults{f.NoWait, f.NoMajority, f.LeaseOnAnswer, f.IgnoreOpen, f.NoFence, f.KeepLease}
+	return &Core{c}
+}
+
+func export(e effects) Effects {
+	out := Effects{Heartbeats: e.heartbeats, ReadView: e.readView, ReadList: e.readList}
+	if e.write != nil {
+		out.Write = &Write{e.write.view, e.write.version}
+	}
+	return out
+}
+
+func (c *Core) Tick(now time.Time, g jujubegate.Generation) Effects { return export(c.c.tick(now, g)) }
+func (c *Core) Message(now time.Time) HeartbeatRequest              { return c.c.message(now) }
+func (c *Core) Request(now time.Time, r HeartbeatRequest) HeartbeatAnswer {
+	return c.c.request(now, r)
+}
+
+func (c *Core) Answer(to Member, sentAt, now time.Time, a HeartbeatAnswer) Effects {
+	return export(c.c.answer(to, sentAt, now, a))
+}
+
+func (c *Core) ViewAnswer(sentAt time.Time, v View, version int64, ok bool, now time.Time) Effects {
+	return export(c.c.viewAnswer(viewRead{sentAt, v, version, ok}, now))
+}
+
+func (c *Core) Written(w Write, ok bool, now time.Time) Effects {
+	return export(c.c.written(viewWrite{w.View, w.Version}, ok, now))
+}
+func (c *Core) List(l Listing, ok bool, now time.Time) { c.c.list(l, ok, now) }
+func (c *Core) State() *State                          { return c.c.state() }
+func (c *Core) Announce()                              { c.c.self.Leaving = true }
+func (c *Core) HandOver()                              { c.c.handingOver = true }
+func (c *Core) Depart()                                { c.c.departing = true }
+func (c *Core) Departed() bool                         { return c.c.departed() }
+func (c *Core) Release(e jujubegate.Epoch)             { c.c.release(e) }
--- a/leaser/proposal.go
+++ b/leaser/proposal.go
@@ -131,16 +131,18 @@
 	return names
 }
 
-// joiners returns the instances that should be added to the view.
+// joiners returns the instances that should be added to the view. One that is
+// behind in configuration waits: as a member it would hold up targets whose
+// owner depends on the changes that it lacks.
 func (c *core) joiners(now time.Time) []Member {
 	var found []Member
-	if !c.view.Has(c.self.ID()) && !c.departing && !c.self.Leaving {
+	if !c.view.Has(c.self.ID()) && !c.departing && !c.self.Leaving && !c.behind(now) {
 		found = append(found, c.self)
 	}
 	for id, p := range c.peers {
 		joins := !c.view.Has(id) && !c.ended[id] && !p.Member.Leaving && p.Epoch == c.view.Epoch &&
 			elapsed(p.Heard, now) < c.timing.Suspicion && p.Member.PeerAddress != "" &&
-			len(c.view.Members)-len(p.suspected) >= c.view.Majority()
+			p.Generation >= c.generation && len(c.view.Members)-len(p.suspected) >= c.view.Majority()
 		if joins {
 			found = append(found, p.Member)
 		}
@@ -148,6 +150,13 @@
 	return found
 }
 
+// behind reports whether a live member has a later configuration.
+func (c *core) behind(now time.Time) bool {
+	return slices.ContainsFunc(c.view.Members, func(m Member) bool {
+		return c.answers(m.ID(), now) && c.peers[m.ID()].Generation > c.generation
+	})
+}
+
 // proposalDue reports whether this instance should write its proposal now. The
 // live members come in rendezvous order, then the joining instances, so that
 // one of them usually writes alone.
--- a/leaser/query.go
+++ b/leaser/query.go
@@ -55,7 +55,11 @@
 func (l *Leaser) Release(epoch jujubegate.Epoch) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.core.released = max(l.core.released, min(epoch, l.core.view.Epoch))
+	l.core.release(epoch)
+}
+
+func (c *core) release(epoch jujubegate.Epoch) {
+	c.released = max(c.released, min(epoch, c.view.Epoch))
 }
 
 // Announce marks this instance as leaving in its heartbeats. It stays a member
--- a/leaser/settle.go
+++ b/leaser/settle.go
@@ -10,6 +10,7 @@
 
 // settle closes the open views that no instance can act under any more.
 func (c *core) settle(now time.Time) {
+	c.mature(now)
 	wait := c.timing.Lease + c.timing.Margin
 	if c.faults.noWait {
 		wait = 0
@@ -75,50 +76,79 @@
 // leaseFrom returns the moment from which the serving lease counts.
 func (c *core) leaseFrom() time.Time {
 	from := c.heartbeatLease()
+	if c.faults.keepLease {
+		from = c.tickAt
+	}
 	if c.readFrom.After(from) {
 		from = c.readFrom
 	}
 	return from
 }
 
-// agreed returns the lowest generation among the other instances that may act
-// under the view or an open one. A member that knows a later epoch counts as 0:
-// it may have released targets to an instance that this one does not know.
-func (c *core) agreed() jujubegate.Generation {
+// agreed returns the lowest generation that the other members which may act
+// under a view have reported, for Margin at least.
+func (c *core) agreed(v View) jujubegate.Generation {
 	lowest := jujubegate.Generation(math.MaxInt64)
-	for _, m := range c.view.Members {
+	if c.faults.noFence {
+		return lowest
+	}
+	for _, m := range v.Members {
 		if m.ID() == c.self.ID() {
 			continue
 		}
 		p := c.peers[m.ID()]
-		if p == nil || p.Epoch > c.view.Epoch {
+		if p == nil {
 			return 0
 		}
-		lowest = min(lowest, p.Generation)
-	}
-	for _, o := range c.open {
-		for _, m := range o.view.Members {
-			p := c.peers[m.ID()]
-			if o.closed || m.ID() == c.self.ID() || c.view.Has(m.ID()) || p != nil && p.Epoch > o.view.Epoch {
-				continue
-			}
-			if p == nil {
-				return 0
-			}
-			lowest = min(lowest, p.Generation)
+		if v.Epoch == c.view.Epoch || p.Epoch <= v.Epoch {
+			lowest = min(lowest, p.agreed)
 		}
 	}
 	return lowest
 }
 
+// agree records the generation that a peer reports. A peer that knows a later
+// epoch than this instance does not count: it may have released targets to an
+// instance with an earlier generation that this one does not know. A later
+// generation counts after Margin, which covers requests that the peer has
+// checked but not sent yet, and those in flight. A peer that is in no view that
+// may be acted under has none of either.
+func (c *core) agree(p *peer, now time.Time) {
+	if p.Epoch > c.view.Epoch {
+		return
+	}
+	switch {
+	case p.Generation <= p.agreed:
+	case !c.actor(p.Member.ID()):
+		p.agreed = p.Generation
+	case p.pendingAt.IsZero():
+		p.pending, p.pendingAt = p.Generation, now
+	}
+}
+
+// mature lets generations count that were reported Margin ago.
+func (c *core) mature(now time.Time) {
+	for _, p := range c.peers {
+		if !p.pendingAt.IsZero() && now.Sub(p.pendingAt) >= c.timing.Margin {
+			p.agreed, p.pendingAt = p.pending, time.Time{}
+			c.agree(p, now)
+		}
+	}
+}
+
+// actor reports whether an instance is in the view or an open one.
+func (c *core) actor(id ID) bool {
+	return c.view.Has(id) || slices.ContainsFunc(c.open, func(o openView) bool { return o.view.Has(id) })
+}
+
 // state returns a copy for the queries.
 func (c *core) state() *State {
 	s := &State{
 		Self: c.self, View: c.view, LeaseFrom: c.leaseFrom(), Lease: c.timing.Lease,
-		Agreed: c.agreed(), Peers: make(map[ID]Peer, len(c.peers)),
+		Agreed: c.agreed(c.view), Peers: make(map[ID]Peer, len(c.peers)),
 	}
 	for _, o := range c.open {
-		entry := OpenView{View: o.view}
+		entry := OpenView{View: o.view, Agreed: c.agreed(o.view)}
 		switch {
 		case o.closed:
 			entry.ClosesAt = o.ackedAt
--- a/leaser/state.go
+++ b/leaser/state.go
@@ -16,8 +16,7 @@
 	Lease time.Duration
 	// Open lists the views under which others may still act, oldest first.
 	Open []OpenView
-	// Agreed is the lowest generation among the other instances that may own
-	// targets under the view or an open one.
+	// Agreed is the lowest generation reported by the other members of the view.
 	Agreed jujubegate.Generation
 	// Peers holds the other instances heard of.
 	Peers map[ID]Peer
@@ -29,6 +28,9 @@
 	// ClosesAt is the moment from which no instance holds a lease under the
 	// view; zero while a majority has not acknowledged a later one.
 	ClosesAt time.Time
+	// Agreed is the lowest generation reported by the other members of the
+	// view that have not reported a later epoch.
+	Agreed jujubegate.Generation
 }
 
 // Closed reports whether no instance can act under the view any more.
