Limit the admitted query rate under overload

Cause: at twice the capacity nearly every admitted query is refused by one of its shards, and the work of the others is lost. Change: per service an additive-increase, multiplicative-decrease rate driven by congested queries, divided by priority and then max-min fairly by caller; bounds on queries in flight by priority; RetryAfter from the credit. Results of queries admitted before a decrease don't lead to another one.

--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -26,35 +26,66 @@
 const (
 	// maxInFlight bounds the queries of this root, and thereby its memory.
 	maxInFlight = 4096
+	// priorities is the number of priority classes; larger ones are more important.
+	priorities = 4
+	// tick is the period of the demand estimates and of the credit.
+	tick = 100 * time.Millisecond
+	// maxTicks bounds the credit for a pause without queries.
+	maxTicks = 10
+	// minRetryAfter and maxRetryAfter bound the time that a refusal names.
+	minRetryAfter = 100 * time.Millisecond
+	maxRetryAfter = 5 * time.Second
 )
 
-// Admitter limits the rate of queries per service and priority.
+// Admitter limits the rate of queries per service, with the less important
+// priorities refused first and callers of one priority treated equally. It is
+// safe for concurrent use.
 type Admitter struct {
 	mu       sync.Mutex
 	inFlight int
+	services map[jujubegate.Service]*service
 }
 
 // New returns an admitter that has seen no overload.
-func New() *Admitter { return &Admitter{} }
+func New() *Admitter { return &Admitter{services: make(map[jujubegate.Service]*service)} }
 
 // Ticket is the admission of one query.
 type Ticket struct {
-	service  jujubegate.Service
-	priority int
+	service jujubegate.Service
+	epoch   int
 }
 
-// Admit admits a query, or refuses it with the time to retry.
-func (a *Admitter) Admit(now time.Time, service jujubegate.Service, priority int, caller jujubegate.Caller) (Ticket, *jujubegate.Refusal) {
+// service is the state of one service.
+type service struct {
+	controller controller
+	tickStart  time.Time
+	classes    [priorities]class
+}
+
+// Admit admits a query, or refuses it with the time to retry. Priorities beyond
+// the known classes count as the nearest one.
+func (a *Admitter) Admit(now time.Time, name jujubegate.Service, priority int, caller jujubegate.Caller) (Ticket, *jujubegate.Refusal) {
+	priority = min(max(priority, 0), priorities-1)
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.inFlight >= maxInFlight {
-		return Ticket{}, &jujubegate.Refusal{
-			Reason: jujubegate.Overloaded, Outcome: jujubegate.NotRun, RetryAfter: 100 * time.Millisecond,
-			Detail: fmt.Sprintf("%d queries are in flight", a.inFlight),
-		}
+	// The last places are for the more important priorities.
+	if a.inFlight >= maxInFlight*(priority+1)/priorities {
+		return Ticket{}, refuse(minRetryAfter, fmt.Sprintf("%d queries are in flight", a.inFlight))
+	}
+	s, ok := a.services[name]
+	if !ok {
+		s = &service{tickStart: now}
+		a.services[name] = s
+	}
+	s.advance(now)
+	c := &s.classes[priority]
+	if admitted, wait := c.admit(now, caller, s.controller.limited); !admitted {
+		return Ticket{}, refuse(wait, fmt.Sprintf("service %s admits %.0f queries a second, %.0f of this priority",
+			name, s.controller.limit, c.quota))
 	}
+	s.controller.admitted++
 	a.inFlight++
-	return Ticket{service: service, priority: priority}, nil
+	return Ticket{service: name, epoch: s.controller.epoch}, nil
 }
 
 // Done ends an admitted query.
@@ -62,4 +93,70 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.inFlight--
+	s, ok := a.services[t.service]
+	if !ok {
+		return
+	}
+	limited := s.controller.limited
+	s.controller.done(now, t.epoch, result)
+	if s.controller.limited && !limited {
+		s.divide(tick)
+	}
+}
+
+// Limit returns the admitted rate of a service in queries per second, and
+// false if it is not limited.
+func (a *Admitter) Limit(name jujubegate.Service) (float64, bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	s, ok := a.services[name]
+	if !ok {
+		return 0, false
+	}
+	return s.controller.limit, s.controller.limited
+}
+
+// InFlight returns the number of admitted queries without an end.
+func (a *Admitter) InFlight() int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.inFlight
+}
+
+// advance ends the tick if it is over.
+func (s *service) advance(now time.Time) {
+	elapsed := now.Sub(s.tickStart)
+	if elapsed < tick {
+		return
+	}
+	s.tickStart = now
+	for p := range s.classes {
+		s.classes[p].estimate(now, elapsed)
+	}
+	if s.controller.limited {
+		s.divide(min(elapsed, maxTicks*tick))
+	}
+}
+
+// divide grants the limit of the elapsed time to the classes, the most
+// important one first. What nobody asks for is open to all of them, so that new
+// demand is not refused while there is capacity.
+func (s *service) divide(elapsed time.Duration) {
+	remaining := s.controller.limit
+	for p := priorities - 1; p >= 0; p-- {
+		c := &s.classes[p]
+		c.quota = min(c.demand*demandMargin, remaining)
+		remaining -= c.quota
+	}
+	for p := range s.classes {
+		s.classes[p].quota += remaining
+		s.classes[p].grant(elapsed)
+	}
+}
+
+func refuse(wait time.Duration, detail string) *jujubegate.Refusal {
+	return &jujubegate.Refusal{
+		Reason: jujubegate.Overloaded, Outcome: jujubegate.NotRun,
+		RetryAfter: min(max(wait, minRetryAfter), maxRetryAfter), Detail: detail,
+	}
 }
