Check queries against random fleets

It found that a hedge after a timer still used the configuration of the query's start; new attempts now follow the configuration in force. A query without consent to a partial answer ends with the first shard that is given up.

--- a/querier/choose.go
+++ b/querier/choose.go
@@ -15,6 +15,7 @@
 func (r *run) choose() *jujubegate.Refusal {
 	chosen, fallback, moving := versionsOf(r.service.spec, r.service.move, r.service.moved, r.id)
 	r.versions = chosen
+	r.current = r.q.currentPlan()
 	for shard := range r.shards {
 		r.refresh(shard)
 	}
@@ -52,12 +53,11 @@
 func (r *run) refresh(shard int) {
 	offset := r.service.offsets[shard]
 	candidates := r.service.shards[shard]
-	now := r.q.currentPlan()
 	for i := range candidates {
 		k := &r.known[offset+i]
 		k.usable = false
 		// The configuration may have changed since the query started.
-		if now.generation != r.service.generation && !now.has(r.request.Service, shard, candidates[i].address) {
+		if r.current.generation != r.service.generation && !r.current.has(r.request.Service, shard, candidates[i].address) {
 			continue
 		}
 		owner, ok := r.q.Owner(candidates[i].address)
--- /dev/null
+++ b/querier/fleet_test.go
@@ -0,0 +1,335 @@
+package querier
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"jujubegate.example/jujubegate"
+	"jujubegate.example/jujubegate/leaser"
+)
+
+// fleet is a set of owners and targets that misbehave at random. It notes what
+// really ran, so that answers and refusals can be checked against it.
+type fleet struct {
+	seed     uint64
+	shards   int
+	replicas int
+	// hostility is the share of sub-requests, in percent, that go wrong.
+	hostility int
+	// lies lets a negative control break one rule in a result before it is delivered.
+	lies func(r *jujubegate.SubResult)
+
+	mu       sync.Mutex
+	newest   jujubegate.Snapshot
+	held     map[jujubegate.Address][]jujubegate.Snapshot
+	ran      map[string]int
+	returned map[string]bool
+	sent     map[string]int
+	faults   []string
+	notRun   []string
+	book     *ReportBook
+	topo     *fakeTopology
+	outSince time.Time
+}
+
+// row is what a target answers; it states the truth about its origin.
+type row struct {
+	Query    string
+	Shard    int
+	Snapshot jujubegate.Snapshot
+	Start    uint64
+	End      uint64
+}
+
+const fleetSlots = 16
+
+func newFleet(seed uint64, random *rand.Rand) *fleet {
+	f := &fleet{
+		seed: seed, shards: 1 + random.IntN(5), replicas: 1 + random.IntN(3),
+		hostility: []int{0, 5, 20, 60}[random.IntN(4)], lies: func(*jujubegate.SubResult) {},
+		newest: 3, held: make(map[jujubegate.Address][]jujubegate.Snapshot), ran: make(map[string]int),
+		returned: make(map[string]bool), sent: make(map[string]int), book: NewReportBook(),
+	}
+	f.topo = newTopology(f.shards, f.replicas)
+	f.topo.spec.Deadline = 160 * time.Millisecond
+	for _, t := range f.topo.targets {
+		f.held[t.Address] = []jujubegate.Snapshot{2, 3}
+		f.report(t.Address)
+	}
+	return f
+}
+
+func (f *fleet) topology() topology {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.topo
+}
+
+// report puts the truth about a target into the book; the caller holds the lock
+// or is alone.
+func (f *fleet) report(a jujubegate.Address) {
+	f.book.Put([]jujubegate.TargetReport{{
+		Target: a, State: jujubegate.Warm, Limit: 4, Latency: 5 * time.Millisecond,
+		Snapshots: slices.Clone(f.held[a]),
+	}})
+}
+
+// reportOf returns the true report of a target, as an owner sends it.
+func (f *fleet) reportOf(a jujubegate.Address) []jujubegate.TargetReport {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if len(f.held[a]) == 0 {
+		return nil
+	}
+	f.report(a)
+	report, _ := f.book.Get(a)
+	return []jujubegate.TargetReport{report}
+}
+
+// advance repartitions the data into a new snapshot on some targets, drops old
+// ones, and leaves some reports stale.
+func (f *fleet) advance(random *rand.Rand) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if random.IntN(3) == 0 {
+		// Operators take a data centre out, or bring it in again.
+		next := *f.topo
+		next.generation++
+		next.out = []jujubegate.DataCentre{"", "dc0", "dc1"}[random.IntN(3)]
+		f.topo, f.outSince = &next, time.Now()
+	}
+	f.newest++
+	for _, t := range f.topo.targets {
+		if random.IntN(5) > 0 {
+			f.held[t.Address] = append(slices.Clone(f.held[t.Address]), f.newest)
+		}
+		if held := f.held[t.Address]; len(held) > 1 && random.IntN(2) == 0 {
+			f.held[t.Address] = held[1:]
+		}
+		if random.IntN(4) > 0 {
+			f.report(t.Address)
+		}
+	}
+}
+
+// keys is the partition map of a snapshot: cut points from its number.
+func (f *fleet) keys(shard int, snapshot jujubegate.Snapshot) jujubegate.KeyRange {
+	cuts := rand.New(rand.NewPCG(f.seed, uint64(snapshot))).Perm(fleetSlots - 1)[:f.shards-1]
+	slices.Sort(cuts)
+	cut := func(i int) uint64 {
+		switch i {
+		case 0:
+			return 0
+		case f.shards:
+			return jujubegate.KeySpace
+		}
+		return uint64(cuts[i-1]+1) * (jujubegate.KeySpace / fleetSlots)
+	}
+	return jujubegate.KeyRange{Start: cut(shard), End: cut(shard + 1)}
+}
+
+// answerOf is what a target answers from a snapshot.
+func answerOf(query string, sub jujubegate.SubRequest, snapshot jujubegate.Snapshot, keys jujubegate.KeyRange) jujubegate.SubResult {
+	rows, _ := json.Marshal([]row{{Query: query, Shard: sub.Shard, Snapshot: snapshot, Start: keys.Start, End: keys.End}})
+	return jujubegate.SubResult{
+		Shard: sub.Shard, Attempt: sub.Attempt, Target: sub.Target, Snapshot: snapshot, Range: keys, Rows: rows,
+	}
+}
+
+// delivery is a result at a time after the dispatch.
+type delivery struct {
+	after  time.Duration
+	result *jujubegate.SubResult
+	// breaks ends the stream.
+	breaks bool
+	// runs is set if the target ran the sub-request.
+	runs bool
+}
+
+func (f *fleet) dispatch(ctx context.Context, _ leaser.Member, b jujubegate.Batch,
+	deliver func([]jujubegate.SubResult, []jujubegate.TargetReport),
+) error {
+	if ctx.Err() != nil {
+		return ctx.Err()
+	}
+	var deliveries []delivery
+	for _, sub := range b.SubRequests {
+		f.check(&b, sub)
+		random := rand.New(rand.NewPCG(f.seed, xxhash.Sum64String(fmt.Sprint(b.QueryID, sub))))
+		deliveries = append(deliveries, f.behave(random, &b, sub)...)
+	}
+	slices.SortStableFunc(deliveries, func(a, b delivery) int { return int(a.after - b.after) })
+	start := time.Now()
+	for _, d := range deliveries {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(time.Until(start.Add(d.after))):
+		}
+		if d.runs {
+			f.mu.Lock()
+			f.ran[b.QueryID]++
+			f.mu.Unlock()
+		}
+		if d.breaks {
+			return errors.New("connection reset")
+		}
+		if d.result != nil {
+			f.lies(d.result)
+			deliver([]jujubegate.SubResult{*d.result}, f.reportOf(d.result.Target))
+		}
+	}
+	return nil
+}
+
+// check notes sub-requests that must not be sent.
+func (f *fleet) check(b *jujubegate.Batch, sub jujubegate.SubRequest) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.sent[b.QueryID]++
+	if f.returned[b.QueryID] {
+		f.faults = append(f.faults, "sub-request after the end of its query")
+	}
+	if b.Order {
+		f.faults = append(f.faults, "query sent as an order")
+	}
+	if !time.Now().Before(b.Deadline) {
+		f.faults = append(f.faults, "sub-request after its deadline")
+	}
+	for _, t := range f.topo.targets {
+		if t.Address == sub.Target && f.topo.out != "" && t.DataCentre == f.topo.out && time.Since(f.outSince) > 0 {
+			f.faults = append(f.faults, "sub-request to a data centre that is out")
+		}
+	}
+}
+
+// behave decides what one sub-request leads to.
+func (f *fleet) behave(random *rand.Rand, b *jujubegate.Batch, sub jujubegate.SubRequest) []delivery {
+	f.mu.Lock()
+	holds := slices.Contains(f.held[sub.Target], b.Snapshot)
+	f.mu.Unlock()
+	after := time.Duration(1+random.IntN(8)) * time.Millisecond
+	right := answerOf(b.QueryID, sub, b.Snapshot, f.keys(sub.Shard, b.Snapshot))
+	good := delivery{after: after, result: &right, runs: true}
+	refused := func(reason jujubegate.Reason, outcome jujubegate.Outcome) delivery {
+		return delivery{after: after, runs: outcome == jujubegate.Ran, result: &jujubegate.SubResult{
+			Shard: sub.Shard, Attempt: sub.Attempt, Target: sub.Target,
+			Refusal: &jujubegate.Refusal{Reason: reason, Outcome: outcome},
+		}}
+	}
+	if !holds {
+		return []delivery{refused(jujubegate.SnapshotNotHeld, jujubegate.NotRun)}
+	}
+	if random.IntN(100) >= f.hostility {
+		return []delivery{good}
+	}
+	changed := func(change func(r *jujubegate.SubResult)) delivery {
+		r := right
+		change(&r)
+		return delivery{after: after + time.Duration(random.IntN(3))*time.Millisecond, result: &r, runs: true}
+	}
+	other := answerOf(b.QueryID, sub, b.Snapshot-1, f.keys(sub.Shard, b.Snapshot-1))
+	wide := answerOf(b.QueryID, sub, b.Snapshot, jujubegate.KeyRange{Start: 0, End: jujubegate.KeySpace})
+	foreign := answerOf("another query", sub, b.Snapshot, f.keys(sub.Shard, b.Snapshot))
+	foreign.Attempt += 1 + random.IntN(3)
+	stray := answerOf("another query", sub, b.Snapshot, f.keys(sub.Shard, b.Snapshot))
+	stray.Shard = sub.Shard + 1
+	switch random.IntN(16) {
+	case 0:
+		good.after *= 20
+		return []delivery{good}
+	case 1:
+		return []delivery{refused(jujubegate.Shed, jujubegate.NotRun)}
+	case 2:
+		return []delivery{refused(jujubegate.Overloaded, jujubegate.NotRun)}
+	case 3:
+		return []delivery{refused(jujubegate.TargetDraining, jujubegate.NotRun)}
+	case 4:
+		return []delivery{refused(jujubegate.TargetError, jujubegate.Ran)}
+	case 5:
+		return []delivery{{after: after, breaks: true, runs: random.IntN(2) == 0}}
+	case 6:
+		return []delivery{{after: after, runs: random.IntN(2) == 0}} // the stream ends without a result
+	case 7:
+		return []delivery{{after: 10 * time.Second}} // a stalled target
+	case 8:
+		return []delivery{good, changed(func(*jujubegate.SubResult) {})}
+	case 9:
+		return []delivery{{after: after, result: &other, runs: true}}
+	case 10:
+		return []delivery{{after: after, result: &wide, runs: true}}
+	case 11:
+		return []delivery{{after: 0, result: &foreign}, {after: 0, result: &stray}, good}
+	case 12:
+		return []delivery{refused(jujubegate.Shed, jujubegate.NotRun), {after: after, result: &foreign}}
+	case 13:
+		return []delivery{changed(func(r *jujubegate.SubResult) { r.Range.End = r.Range.Start })}
+	case 14:
+		return []delivery{changed(func(r *jujubegate.SubResult) { r.Rows = r.Rows[1:] })}
+	default:
+		return []delivery{changed(func(r *jujubegate.SubResult) { r.Target = "10.9.9.9:1" }), good}
+	}
+}
+
+// verify checks an answer or refusal against what the targets did.
+func (f *fleet) verify(request Request, answer Answer, refusal *jujubegate.Refusal, took time.Duration) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.returned[answer.QueryID] = true
+	if took > f.topo.spec.Deadline {
+		return fmt.Errorf("query took %v", took)
+	}
+	if f.sent[answer.QueryID] > 2*f.shards*maxAttempts {
+		return fmt.Errorf("query sent %d sub-requests", f.sent[answer.QueryID])
+	}
+	if refusal != nil {
+		return nil // its outcome is checked when all targets are done
+	}
+	var rows []row
+	if err := json.Unmarshal(answer.Rows, &rows); err != nil {
+		return fmt.Errorf("rows %s: %w", answer.Rows, err)
+	}
+	if len(rows) != answer.Shards || answer.Of != f.shards {
+		return fmt.Errorf("%d rows of %d shards, %d in all", len(rows), answer.Shards, answer.Of)
+	}
+	var covered [fleetSlots]bool
+	for i, r := range rows {
+		switch {
+		case r.Query != answer.QueryID:
+			return fmt.Errorf("row of query %q in the answer of %q", r.Query, answer.QueryID)
+		case r.Snapshot != answer.Snapshot:
+			return fmt.Errorf("row of snapshot %d in an answer from %d", r.Snapshot, answer.Snapshot)
+		case i > 0 && r.Shard <= rows[i-1].Shard:
+			return fmt.Errorf("row of shard %d follows that of %d", r.Shard, rows[i-1].Shard)
+		}
+		for k := r.Start / (jujubegate.KeySpace / fleetSlots); k < r.End/(jujubegate.KeySpace/fleetSlots); k++ {
+			if covered[k] {
+				return errors.New("two rows cover the same keys")
+			}
+			covered[k] = true
+		}
+	}
+	for _, keys := range answer.Coverage.Missing() {
+		for k := keys.Start / (jujubegate.KeySpace / fleetSlots); k < keys.End/(jujubegate.KeySpace/fleetSlots); k++ {
+			if covered[k] {
+				return errors.New("coverage lacks keys of a row")
+			}
+			covered[k] = true
+		}
+	}
+	if slices.Contains(covered[:], false) {
+		return errors.New("coverage states keys that no row covers")
+	}
+	if !request.AllowPartial && (!answer.Coverage.Whole() || answer.Shards != f.shards) {
+		return fmt.Errorf("partial answer from %d of %d shards without consent", answer.Shards, f.shards)
+	}
+	return nil
+}
--- a/querier/handle.go
+++ b/querier/handle.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"jujubegate.example/jujubegate"
-	"jujubegate.example/jujubegate/admitter"
 	"jujubegate.example/jujubegate/balancer"
 	"jujubegate.example/jujubegate/hedger"
 	"jujubegate.example/jujubegate/merger"
@@ -23,7 +22,7 @@
 	if e.err != nil {
 		detail = fmt.Sprintf("stream broke: %v", e.err)
 	}
-	for _, sub := range r.streams[e.stream] {
+	for _, sub := range r.streams[e.stream].subs {
 		if a := &r.shards[sub.Shard].attempts[sub.Attempt-1]; !a.ended {
 			r.end(now, sub.Shard, a, balancer.Failed)
 			r.failed(now, sub.Shard, a, &jujubegate.Refusal{
@@ -131,8 +130,10 @@
 		}
 		r.end(now, shard, a, balancer.Abandoned)
 		r.samples = append(r.samples, now.Sub(a.sentAt))
-		r.mayHaveRun = true
-		r.cancels = append(r.cancels, cancellation{shard: shard, attempt: i + 1})
+		if a.stream != notSent {
+			r.mayHaveRun = true
+			r.cancels = append(r.cancels, send{shard: shard, attempt: i + 1})
+		}
 	}
 }
 
@@ -197,106 +198,3 @@
 		r.lastCause = refusal
 	}
 }
-
-// rerun starts the query again on a newer snapshot, at most once, if a shard
-// was given up because its targets no longer hold the current one.
-func (r *run) rerun(now time.Time) {
-	if r.reruns > 0 || r.left(now) <= 2*r.least() || !r.anyLost() {
-		return
-	}
-	for shard := range r.shards {
-		r.refresh(shard)
-	}
-	choice, ok := r.newest(r.snapshot)
-	if !ok || !choice.Complete || !r.q.Hedger.Borrow(now, len(r.shards)) {
-		return
-	}
-	r.reruns++
-	r.q.Counters.Reruns.Add(1)
-	r.countDropped()
-	for shard := range r.shards {
-		r.abandon(now, shard)
-		s := &r.shards[shard]
-		s.base, s.tried, s.hedges = len(s.attempts), 0, 0
-		s.hedgeFailed, s.closed, s.lost = false, false, false
-	}
-	r.flushCancels()
-	r.pending = len(r.shards)
-	r.lastCause, r.sends = nil, r.sends[:0]
-	r.snapshot = choice.Snapshot
-	r.merger.Reset(r.id, r.snapshot, len(r.shards))
-	r.sendFirst(now)
-}
-
-func (r *run) anyLost() bool {
-	for i := range r.shards {
-		if s := &r.shards[i]; s.lost && s.closed && r.merger.Open(i) {
-			return true
-		}
-	}
-	return false
-}
-
-// endOutstanding settles what is still outstanding at the end of the query.
-func (r *run) endOutstanding(now time.Time) {
-	for shard := range r.shards {
-		r.abandon(now, shard)
-	}
-	r.observe(now)
-	r.flushCancels()
-}
-
-// finish returns the answer, or the refusal that the cause or the shards give.
-func (r *run) finish(cause *jujubegate.Refusal) (Answer, *jujubegate.Refusal) {
-	answer := Answer{
-		QueryID: r.id, Version: r.versions.only, Snapshot: r.snapshot, Of: len(r.shards),
-		Hedges: r.hedges, Retries: r.retries, Reruns: r.reruns, Dropped: r.dropped,
-		Took: r.q.Clock.Now().Sub(r.started),
-	}
-	merged, err := r.merger.Merge()
-	if err != nil {
-		r.q.Violation("P2", err.Error())
-		return answer, r.refusal(&jujubegate.Refusal{Reason: jujubegate.BadAnswer, Detail: err.Error()})
-	}
-	answer.Coverage, answer.Rows, answer.Shards = merged.Coverage, merged.Rows, merged.Shards
-	whole := merged.Coverage.Whole()
-	if merged.Shards == len(r.shards) && whole {
-		r.load = admitter.Good
-		return answer, nil
-	}
-	if r.congested || (cause != nil && cause.Reason == jujubegate.DeadlinePassed) {
-		r.load = admitter.Congested
-	}
-	switch {
-	case whole:
-		// A subset of the shards covers all keys: a range must be wrong.
-		return answer, r.refusal(&jujubegate.Refusal{
-			Reason: jujubegate.BadAnswer, Detail: fmt.Sprintf("%d of %d shards cover all keys", merged.Shards, len(r.shards)),
-		})
-	case cause != nil && cause.Reason == jujubegate.Cancelled:
-		return answer, r.refusal(cause)
-	case r.request.AllowPartial && merged.Shards > 0:
-		return answer, nil
-	case cause != nil:
-		return answer, r.refusal(cause)
-	case r.lastCause != nil:
-		return answer, r.refusal(r.lastCause)
-	}
-	return answer, r.refusal(&jujubegate.Refusal{
-		Reason: jujubegate.NoCoverage, Detail: fmt.Sprintf("key ranges %v are missing", merged.Coverage.Missing()),
-	})
-}
-
-// refusal returns the cause with the outcome of the whole query.
-func (r *run) refusal(cause *jujubegate.Refusal) *jujubegate.Refusal {
-	refusal := *cause
-	switch {
-	case r.didRun:
-		refusal.Outcome = jujubegate.Ran
-	case r.mayHaveRun:
-		refusal.Outcome = jujubegate.Unknown
-	default:
-		refusal.Outcome = jujubegate.NotRun
-	}
-	return &refusal
-}
--- a/querier/place.go
+++ b/querier/place.go
@@ -38,6 +38,7 @@
 		return Place{}, refuse(jujubegate.NoCoverage, "service %s has no shards", service)
 	}
 	shard := shardOf(len(s.shards))
+	r.current = q.currentPlan()
 	r.refresh(shard)
 	chosen, fallback, moving := versionsOf(s.spec, s.move, s.moved, id)
 	r.versions = chosen
--- a/querier/querier.go
+++ b/querier/querier.go
@@ -67,7 +67,8 @@
 
 // Dispatch sends the batch to its owner and delivers results and reports from
 // one goroutine until all have arrived. It keeps no reference to delivered
-// slices. An error means that the stream broke: sub-requests without a result
+// slices and does not change the batch. When the context ends, the owner cancels
+// the sub-requests that have no result. An error means that the stream broke: sub-requests without a result
 // may have run.
 type Dispatch func(ctx context.Context, owner leaser.Member, batch jujubegate.Batch,
 	deliver func([]jujubegate.SubResult, []jujubegate.TargetReport)) error
@@ -142,7 +143,7 @@
 }
 
 // Query runs a query to its answer or to a refusal that says whether any part
-// of it may have run.
+// of it may have run. With a refusal the answer holds at most the query ID.
 func (q *Querier) Query(ctx context.Context, request Request) (Answer, *jujubegate.Refusal) {
 	now := q.Clock.Now()
 	q.Counters.Queries.Add(1)
@@ -164,7 +165,7 @@
 	r.release()
 	q.runs.Put(r)
 	if refusal != nil {
-		return Answer{}, q.refused(request, answer.QueryID, refusal)
+		return Answer{QueryID: answer.QueryID}, q.refused(request, answer.QueryID, refusal)
 	}
 	if !answer.Coverage.Whole() {
 		q.Counters.Partial.Add(1)
--- a/querier/run.go
+++ b/querier/run.go
@@ -34,24 +34,25 @@
 	snapshot jujubegate.Snapshot
 	merger   merger.Merger
 	chooser  merger.Chooser
-	known    []knownCandidate
-	shards   []shardRun
+	// current is the plan in force, which a query follows for new attempts.
+	current *plan
+	known   []knownCandidate
+	shards  []shardRun
 	// pending is the number of shards that are neither answered nor given up.
 	pending int
 	options []balancer.Option
 	// optionOf maps an option to its candidate.
 	optionOf []int
 
-	inbox  *mailbox
-	events []event
-	// streams holds the sub-requests of each stream.
-	streams [][]jujubegate.SubRequest
+	inbox   *mailbox
+	events  []event
+	streams []stream
 	sends   []send
-	groups  []ownerGroup
+	groups  []stream
 	groupOf map[jujubegate.Instance]int
 	dues    []due
 	nextDue int
-	cancels []cancellation
+	cancels []send
 	samples []time.Duration
 
 	// mayHaveRun is set by attempts whose end leaves open whether they ran,
@@ -99,11 +100,19 @@
 	ended     bool
 }
 
+// stream is one Dispatch.
+type stream struct {
+	owner leaser.Member
+	subs  []jujubegate.SubRequest
+}
+
 // due is the time at which an attempt is hedged.
 type due struct {
 	shard   int
 	attempt int
 	at      time.Time
+	// postponed counts how often there was no budget for the hedge.
+	postponed int
 }
 
 func (r *run) reset(q *Querier, service *servicePlan, route *routePlan, request Request, now time.Time) {
@@ -144,7 +153,8 @@
 
 // release drops references to the caller's data before the run is pooled.
 func (r *run) release() {
-	r.request, r.inbox, r.service, r.route, r.lastCause = Request{}, nil, nil, nil, nil
+	r.request, r.inbox, r.lastCause = Request{}, nil, nil
+	r.service, r.route, r.current = nil, nil, nil
 	r.merger.Reset("", 0, 0)
 	clear(r.events[:cap(r.events)])
 	clear(r.streams)
@@ -179,6 +189,7 @@
 		select {
 		case <-r.inbox.ready:
 			now := r.q.Clock.Now()
+			r.current = r.q.currentPlan()
 			r.events = r.inbox.take(r.events)
 			for i := range r.events {
 				r.handle(now, &r.events[i])
@@ -187,6 +198,7 @@
 			r.observe(now)
 		case <-timer:
 			timer = nil
+			r.current = r.q.currentPlan()
 		case <-ctx.Done():
 			return refuse(jujubegate.Cancelled, "caller gave up: %v", context.Cause(ctx))
 		}
@@ -195,6 +207,10 @@
 		if r.pending == 0 {
 			break
 		}
+		if r.lastCause != nil && !r.request.AllowPartial {
+			// The answer can't be complete: the other shards' work is wasted.
+			return r.lastCause
+		}
 		if !now.Before(r.deadline) {
 			return refuse(jujubegate.DeadlinePassed, "%d of %d shards are unanswered after %v",
 				r.merger.OpenShards(), len(r.shards), now.Sub(r.started))
@@ -225,6 +241,9 @@
 }
 
 func (r *run) observe(now time.Time) {
+	if len(r.samples) == 0 {
+		return
+	}
 	r.route.latency.Observe(now, r.samples...)
 	r.samples = r.samples[:0]
 }
--- a/querier/send.go
+++ b/querier/send.go
@@ -15,24 +15,16 @@
 // notSent is the stream of an attempt before its flush.
 const notSent = -1
 
+// maxPostponed is the number of times that a hedge without budget is tried
+// again, each after another hedge delay.
+const maxPostponed = 3
+
 // send is a sub-request that waits for the next flush.
 type send struct {
 	shard   int
 	attempt int
 }
 
-// ownerGroup collects the sub-requests for one owner.
-type ownerGroup struct {
-	owner leaser.Member
-	subs  []jujubegate.SubRequest
-}
-
-// cancellation is a sub-request whose result is no longer needed.
-type cancellation struct {
-	shard   int
-	attempt int
-}
-
 // sendFirst queues the first attempt of every shard.
 func (r *run) sendFirst(now time.Time) {
 	sent := 0
@@ -89,13 +81,15 @@
 	if len(r.sends) == 0 {
 		return
 	}
-	r.group(r.sends)
+	r.group(r.sends, func(s send, a *attempt) *leaser.Member {
+		return &r.known[r.service.offsets[s.shard]+a.candidate].owner
+	})
 	for i := range r.groups {
 		g := &r.groups[i]
-		stream := len(r.streams)
-		r.streams = append(r.streams, g.subs)
+		number := len(r.streams)
+		r.streams = append(r.streams, stream{owner: g.owner, subs: g.subs})
 		for _, sub := range g.subs {
-			r.shards[sub.Shard].attempts[sub.Attempt-1].stream = stream
+			r.shards[sub.Shard].attempts[sub.Attempt-1].stream = number
 		}
 		batch := jujubegate.Batch{
 			QueryID: r.id, Service: r.request.Service, Route: r.request.Route, Caller: r.request.Caller,
@@ -103,8 +97,7 @@
 			Body: r.request.Body, Generation: r.service.generation, SubRequests: g.subs,
 		}
 		r.logSends(now, g)
-		go r.q.stream(ctx, g.owner, batch, stream, r.inbox)
-		// The batch keeps the slice.
+		go r.q.stream(ctx, g.owner, batch, number, r.inbox)
 		g.subs = nil
 	}
 	r.q.Counters.SubRequests.Add(int64(len(r.sends)))
@@ -112,17 +105,17 @@
 }
 
 // group arranges sub-requests by owner in r.groups.
-func (r *run) group(sends []send) {
+func (r *run) group(sends []send, ownerOf func(send, *attempt) *leaser.Member) {
 	clear(r.groupOf)
 	r.groups = r.groups[:0]
 	for _, s := range sends {
 		a := &r.shards[s.shard].attempts[s.attempt-1]
-		k := &r.known[r.service.offsets[s.shard]+a.candidate]
-		g, ok := r.groupOf[k.owner.Instance]
+		owner := ownerOf(s, a)
+		g, ok := r.groupOf[owner.Instance]
 		if !ok {
 			g = len(r.groups)
-			r.groupOf[k.owner.Instance] = g
-			r.groups = append(r.groups, ownerGroup{owner: k.owner})
+			r.groupOf[owner.Instance] = g
+			r.groups = append(r.groups, stream{owner: *owner})
 		}
 		r.groups[g].subs = append(r.groups[g].subs, jujubegate.SubRequest{
 			Shard: s.shard, Attempt: s.attempt,
@@ -132,27 +125,23 @@
 }
 
 // stream runs one Dispatch and passes its events on.
-func (q *Querier) stream(ctx context.Context, owner leaser.Member, batch jujubegate.Batch, stream int, inbox *mailbox) {
+func (q *Querier) stream(ctx context.Context, owner leaser.Member, batch jujubegate.Batch, number int, inbox *mailbox) {
 	err := q.Dispatch(ctx, owner, batch, func(results []jujubegate.SubResult, reports []jujubegate.TargetReport) {
 		if len(reports) > 0 {
 			q.Observed(reports)
 		}
 		if len(results) > 0 {
-			inbox.put(event{stream: stream, results: results})
+			inbox.put(event{stream: number, results: results})
 		}
 	})
-	inbox.put(event{stream: stream, ended: true, err: err})
+	inbox.put(event{stream: number, ended: true, err: err})
 }
 
 func (r *run) flushCancels() {
 	if len(r.cancels) == 0 {
 		return
 	}
-	sends := make([]send, len(r.cancels))
-	for i, c := range r.cancels {
-		sends[i] = send(c)
-	}
-	r.group(sends)
+	r.group(r.cancels, func(_ send, a *attempt) *leaser.Member { return &r.streams[a.stream].owner })
 	for i := range r.groups {
 		r.q.Cancel(r.groups[i].owner, r.id, r.groups[i].subs)
 		r.groups[i].subs = nil
@@ -160,7 +149,7 @@
 	r.cancels = r.cancels[:0]
 }
 
-func (r *run) logSends(now time.Time, g *ownerGroup) {
+func (r *run) logSends(now time.Time, g *stream) {
 	for _, sub := range g.subs {
 		if ce := r.q.Log.Check(zap.DebugLevel, "querier: send"); ce != nil {
 			ce.Write(zap.String("query", r.id), zap.Int("shard", sub.Shard), zap.Int("attempt", sub.Attempt),
@@ -198,7 +187,10 @@
 		}
 		if !r.q.Hedger.TakeHedge(now) {
 			r.q.Counters.NoBudget.Add(1)
-			r.dues = append(r.dues, due{shard: d.shard, attempt: d.attempt, at: now.Add(r.hedgeDelay)})
+			if d.postponed++; d.postponed <= maxPostponed {
+				d.at = now.Add(r.hedgeDelay)
+				r.dues = append(r.dues, d)
+			}
 			continue
 		}
 		if r.try(now, d.shard, true) {
