--- /dev/null
+++ b/querier/bench_test.go
@@ -0,0 +1,85 @@
+package querier
+
+import (
+	"context"
+	"fmt"
+	"syscall"
+	"testing"
+	"time"
+
+	"jujubegate.example/jujubegate"
+	"jujubegate.example/jujubegate/leaser"
+)
+
+// cpuTime returns the CPU time of the process.
+func cpuTime() time.Duration {
+	var u syscall.Rusage
+	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &u)
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+// BenchmarkQuery is a whole query over a stub Dispatch that answers at once,
+// with prepared results: two replicas per shard, one owner per 5 targets.
+func BenchmarkQuery(b *testing.B) {
+	for _, shards := range []int{20, 30, 1100} {
+		b.Run(fmt.Sprintf("FanOut=%d", shards), func(b *testing.B) {
+			f := newTopology(shards, 2)
+			f.spec.Deadline = 10 * time.Second
+			q := newRealFake(f, max(2*shards/5, 8))
+			rows := make([][]byte, shards)
+			for i := range rows {
+				rows[i] = fmt.Appendf(nil, `[{"Shard":%d,"Name":"barometer"}]`, i)
+			}
+			q.Dispatch = func(_ context.Context, _ leaser.Member, batch jujubegate.Batch,
+				deliver func([]jujubegate.SubResult, []jujubegate.TargetReport),
+			) error {
+				results := make([]jujubegate.SubResult, len(batch.SubRequests))
+				for i, sub := range batch.SubRequests {
+					results[i] = jujubegate.SubResult{
+						Shard: sub.Shard, Attempt: sub.Attempt, Target: sub.Target, Snapshot: batch.Snapshot,
+						Range: keysOf(sub.Shard, shards), Rows: rows[sub.Shard],
+					}
+				}
+				deliver(results, nil)
+				return nil
+			}
+			request := Request{Service: fakeService, Route: fakeRoute, Caller: "zora"}
+			b.ReportAllocs()
+			cpu := cpuTime()
+			for b.Loop() {
+				if answer, refusal := q.Query(context.Background(), request); refusal != nil || !answer.Coverage.Whole() {
+					b.Fatal(refusal)
+				}
+			}
+			b.ReportMetric(float64((cpuTime()-cpu).Nanoseconds())/float64(b.N*shards), "cpu-ns/sub-request")
+		})
+	}
+}
+
+// BenchmarkPrepare is the root's decisions for a query, without the streams: the
+// snapshot, the replica of every shard and the batches per owner.
+func BenchmarkPrepare(b *testing.B) {
+	for _, shards := range []int{20, 30, 1100} {
+		b.Run(fmt.Sprintf("FanOut=%d", shards), func(b *testing.B) {
+			q := newRealFake(newTopology(shards, 2), max(2*shards/5, 8))
+			now := time.Now()
+			service, route, refusal := q.check(now, fakeService, fakeRoute)
+			if refusal != nil {
+				b.Fatal(refusal)
+			}
+			r := q.runs.Get().(*run)
+			request := Request{Service: fakeService, Route: fakeRoute}
+			b.ReportAllocs()
+			for b.Loop() {
+				r.reset(q, service, route, request, now)
+				if refusal := r.choose(); refusal != nil {
+					b.Fatal(refusal)
+				}
+				r.merger.Reset(r.id, r.snapshot, shards)
+				r.sendFirst(now)
+				r.endOutstanding(now)
+			}
+			b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N*shards), "ns/sub-request")
+		})
+	}
+}
