--- a/orderer/claim.go
+++ b/orderer/claim.go
@@ -53,10 +53,10 @@
 		if err == nil {
 			return own, written, nil
 		}
-		if !errors.Is(err, storer.ErrConflict) && !errors.Is(err, storer.ErrUnknown) {
+		if errors.Is(err, storer.ErrUnavailable) {
 			return c.unclaimed(own, unsure, err)
 		}
-		unsure = unsure || errors.Is(err, storer.ErrUnknown)
+		unsure = unsure || !errors.Is(err, storer.ErrConflict)
 		record, found, err := c.o.read(ctx, c.key)
 		switch {
 		case errors.Is(err, storer.ErrNotFound):
--- a/orderer/orderer.go
+++ b/orderer/orderer.go
@@ -23,11 +23,15 @@
 	writesPerOrder = 2
 	// maxConflicts bounds how often a call follows a record that others change.
 	maxConflicts = 4
-	// reuseAfter is the age of a NotRun record from which a new call may start
-	// the order again. A call that was already running when the record was
-	// finished must not: its caller may have been told "not run" meanwhile. It
-	// covers the difference between the clocks of two instances.
+	// reuseAfter is the age of a NotRun record, at the start of a call, from
+	// which the call may start the order again. A call that was already running
+	// when the record was finished must not: the caller may have been told "not
+	// run" by a later call meanwhile.
 	reuseAfter = time.Second
+	// maxSkew is the largest difference between the clocks of two instances
+	// for which that holds. A call that starts less than this before it may
+	// reuse a record does neither that nor trust the record.
+	maxSkew = reuseAfter / 2
 	// retryStore is the time after which a failed store may answer again.
 	retryStore = 5 * time.Second
 	// defaultTimeout holds for services without a deadline.
@@ -82,8 +86,8 @@
 }
 
 // Order runs an order at most once and returns its record. A refusal says
-// whether it ran: not run means that neither this call nor one that ended
-// before it has run the order or will.
+// whether it ran: not run means that no request with this ID that was sent
+// before this one, nor this one, has run or will. It may be sent again.
 func (o *Orderer) Order(ctx context.Context, request Request) (Record, *jujubegate.Refusal) {
 	c := &call{o: o, request: &request, started: o.Clock.Now(), key: key(request.Service, request.ID)}
 	o.Counters.Orders.Add(1)
@@ -203,6 +207,12 @@
 		return Record{}, refuse(jujubegate.Duplicate, "order ID was used before with another %s", field)
 	}
 	c.o.Counters.Repeats.Add(1)
+	if record.State == NotRun && c.started.After(record.Finished.Add(reuseAfter-maxSkew)) {
+		// A call that is still running may start the order again.
+		_, refusal := answer(record)
+		refusal.Outcome = jujubegate.Unknown
+		return record, refusal
+	}
 	return answer(record)
 }
 
--- a/orderer/repair.go
+++ b/orderer/repair.go
@@ -12,19 +12,23 @@
 )
 
 const (
-	// maxRepairs bounds the records that wait for the store, and thereby the
-	// memory of an hour's outage: at most 64 KiB each.
-	maxRepairs = 256
-	// repairPause is the time between two rounds of repairs.
-	repairPause = time.Second
+	// maxRepairs and maxRepairRows bound the records that wait for the store,
+	// and thereby the memory: about 4 MB each.
+	maxRepairs    = 8192
+	maxRepairRows = 4 << 20
+	// repairPause is the time between two rounds of repairs. It doubles up to
+	// maxRepairPause while the store does not answer.
+	repairPause    = time.Second
+	maxRepairPause = 30 * time.Second
 	// repairTimeout bounds one store call of a repair.
 	repairTimeout = 5 * time.Second
 )
 
-// repairQueue holds the final records that could not be written, by key and token.
+// repairQueue holds the final records that could not be written.
 type repairQueue struct {
 	mu      sync.Mutex
 	records []pendingRecord
+	rows    int
 	added   chan struct{}
 }
 
@@ -35,23 +39,50 @@
 
 func newRepairQueue() repairQueue { return repairQueue{added: make(chan struct{}, 1)} }
 
+// put queues a record, without its rows if there is no room for them. It
+// returns false if there is no room at all.
+func (q *repairQueue) put(p pendingRecord) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if len(q.records) >= maxRepairs {
+		return false
+	}
+	if q.rows+len(p.record.Rows) > maxRepairRows {
+		p.record.Rows, p.record.RowsOmitted = nil, true
+	}
+	q.rows += len(p.record.Rows)
+	q.records = append(q.records, p)
+	return true
+}
+
+// first returns the record that waits longest.
+func (q *repairQueue) first() (pendingRecord, bool) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if len(q.records) == 0 {
+		return pendingRecord{}, false
+	}
+	return q.records[0], true
+}
+
+func (q *repairQueue) removeFirst() {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.rows -= len(q.records[0].record.Rows)
+	q.records[0] = pendingRecord{}
+	q.records = q.records[1:]
+}
+
 // repair leaves a final record to the background. A record that finds no room
 // stays started, which other calls answer with "unknown".
 func (o *Orderer) repair(key string, record Record) {
-	q := &o.repairs
-	q.mu.Lock()
-	full := len(q.records) >= maxRepairs
-	if !full {
-		q.records = append(q.records, pendingRecord{key: key, record: record})
-	}
-	q.mu.Unlock()
-	if full {
+	if !o.repairs.put(pendingRecord{key: key, record: record}) {
 		o.Counters.RepairsDropped.Add(1)
 		o.Log.Info("orderer: repair dropped", zap.String("order", key))
 		return
 	}
 	select {
-	case q.added <- struct{}{}:
+	case o.repairs.added <- struct{}{}:
 	default:
 	}
 }
@@ -71,37 +102,35 @@
 			return
 		case <-o.repairs.added:
 		}
-		for o.PendingRepairs() > 0 {
+		for pause := repairPause; o.PendingRepairs() > 0; {
 			select {
 			case <-ctx.Done():
 				return
-			case <-o.Clock.After(repairPause):
+			case <-o.Clock.After(pause):
+			}
+			if o.RepairOnce(ctx) {
+				pause = repairPause
+			} else {
+				pause = min(2*pause, maxRepairPause)
 			}
-			o.RepairOnce(ctx)
 		}
 	}
 }
 
-// RepairOnce tries each waiting record once, as far as the write rate allows.
-func (o *Orderer) RepairOnce(ctx context.Context) {
-	q := &o.repairs
-	q.mu.Lock()
-	waiting := q.records
-	q.records = nil
-	q.mu.Unlock()
-	var left []pendingRecord
-	for i, p := range waiting {
-		if ctx.Err() != nil || !o.Writes.AllowN(o.Clock.Now(), 1) {
-			left = append(left, waiting[i:]...)
+// RepairOnce finishes waiting records until the store fails or the write rate
+// is used up, and reports whether it got anywhere. It is called from one
+// goroutine.
+func (o *Orderer) RepairOnce(ctx context.Context) bool {
+	progress := false
+	for ctx.Err() == nil && o.Writes.AllowN(o.Clock.Now(), 1) {
+		p, ok := o.repairs.first()
+		if !ok || !o.repairRecord(ctx, p) {
 			break
 		}
-		if !o.repairRecord(ctx, p) {
-			left = append(left, p)
-		}
+		o.repairs.removeFirst()
+		progress = true
 	}
-	q.mu.Lock()
-	q.records = append(left, q.records...)
-	q.mu.Unlock()
+	return progress
 }
 
 // repairRecord reports whether nothing is left to do for the record. It writes
--- a/orderer/send.go
+++ b/orderer/send.go
@@ -1,7 +1,9 @@
 package orderer
 
 import (
+	"bytes"
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"time"
@@ -25,6 +27,10 @@
 	result, refusal := c.dispatch(ctx, now, place)
 	now = c.o.Clock.Now()
 	switch {
+	case refusal == nil && !isArray(result.Rows):
+		record = record.withEnd(Ran, now, &jujubegate.Refusal{
+			Reason: jujubegate.BadAnswer, Detail: "rows are not a JSON array",
+		})
 	case refusal == nil:
 		record = record.withEnd(Ran, now, nil).withRows(result.Rows)
 	case refusal.Outcome == jujubegate.NotRun:
@@ -44,6 +50,11 @@
 	return recorded, refusal
 }
 
+func isArray(rows []byte) bool {
+	rows = bytes.TrimSpace(rows)
+	return len(rows) == 0 || (rows[0] == '[' && json.Valid(rows))
+}
+
 // sendable refuses an order that must not be sent any more.
 func (c *call) sendable(ctx context.Context, now time.Time) *jujubegate.Refusal {
 	switch {
