--- a/standin/platform/platform.go
+++ b/standin/platform/platform.go
@@ -14,7 +14,9 @@
 //	GET    /debug/vars                      call counters per kind and instance
 //
 // Values are base64. Versions are revisions of the whole store. A 409 carries
-// the current version, 0 if the object does not exist. A call that was refused
+// the current version, 0 if the object does not exist. A result of list or
+// watch holds up to 4 MiB of values, so that it may be shorter than the limit;
+// the next call continues after its last key or version. A call that was refused
 // before it was processed answers 429 or 503 with the header "X-Applied: none".
 package platform
 
--- a/standin/target/help_test.go
+++ b/standin/target/help_test.go
@@ -102,6 +102,17 @@
 	return results
 }
 
+// overlapping sends queries that all run or wait at the same time: the target
+// is stalled until the condition holds.
+func (c *client) overlapping(d *target.Target, n int, condition func(s target.Stats) bool) []result {
+	control(d, `{"Stalled": true}`)
+	results := make(chan []result)
+	go func() { results <- c.together(n) }()
+	eventually(func() bool { return condition(d.Stats()) })
+	control(d, `{"Stalled": false}`)
+	return <-results
+}
+
 func count(results []result, status int) int {
 	n := 0
 	for _, r := range results {
--- a/standin/target/limiter_test.go
+++ b/standin/target/limiter_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -75,3 +76,30 @@
 		So(overloads, ShouldEqual, 1)
 	})
 }
+
+func TestServiceTimes(t *testing.T) {
+	// Guards against runs that differ with the same seed and against a wrong
+	// share of stragglers.
+	Convey("Service times by seed", t, func() {
+		run := func(seed uint64) []time.Duration {
+			s := Settings{Sigma: 0.5, ServiceTimeMs: 5, StraggleShare: 0.01, StraggleFactor: 20}
+			times, sampler := make([]time.Duration, 20_000), newSampler(seed)
+			for i := range times {
+				times[i] = sampler.serviceTime(&s)
+			}
+			return times
+		}
+		first := run(1)
+		So(slices.Equal(run(1), first), ShouldBeTrue)
+		So(slices.Equal(run(2), first), ShouldBeFalse)
+		slices.Sort(first)
+		So(first[10_000].Seconds(), ShouldAlmostEqual, 0.005, 0.0003)
+		stragglers := 0
+		for _, d := range first {
+			if d > 40*time.Millisecond {
+				stragglers++
+			}
+		}
+		So(stragglers, ShouldBeBetween, 130, 280)
+	})
+}
--- a/standin/target/query_test.go
+++ b/standin/target/query_test.go
@@ -75,7 +75,7 @@
 		d := start(s)
 		c := newClient(d)
 		Convey("10 queries at once", func() {
-			results := c.together(10)
+			results := c.overlapping(d, 10, func(s target.Stats) bool { return s.Refused[target.Shed] == 5 })
 			So(count(results, 200), ShouldEqual, 5)
 			So(count(results, 429), ShouldEqual, 5)
 			So(d.Stats().MaxInFlight, ShouldEqual, 2)
@@ -254,7 +254,7 @@
 				control(d, fmt.Sprintf(`{"Faults": %s}`, c.faults))
 				time.Sleep(c.after)
 				began := time.Now()
-				results := newClient(d).together(c.parallel)
+				results := newClient(d).overlapping(d, c.parallel, func(s target.Stats) bool { return s.InFlight == c.parallel })
 				So(count(results, 500), ShouldEqual, c.errors)
 				So(count(results, 200), ShouldEqual, c.parallel-c.errors)
 				So(time.Since(began) >= 250*time.Millisecond, ShouldEqual, c.slow)
--- a/standin/target/state_test.go
+++ b/standin/target/state_test.go
@@ -7,7 +7,6 @@
 	"net"
 	"net/http"
 	"os"
-	"slices"
 	"testing"
 	"time"
 
@@ -36,17 +35,17 @@
 			Convey("and turns cold on command", func() {
 				So(d.Control(target.Control{TurnCold: true}), ShouldBeNil)
 				So(d.Stats().State, ShouldEqual, "Cold")
-				c.together(3)
+				c.overlapping(d, 3, func(s target.Stats) bool { return s.ColdOverload == 1 })
 				So(d.Stats().ColdOverload, ShouldEqual, 1)
 			})
 		})
 		Convey("falls over with one request more, drops all and starts cold", func() {
-			control(d, `{"RestartMs": 60, "ServiceTimeMs": 50}`)
-			results := c.together(3)
+			control(d, `{"RestartMs": 200}`)
+			results := c.overlapping(d, 3, func(s target.Stats) bool { return s.ColdOverload == 1 })
 			So(count(results, 0), ShouldEqual, 3)
 			So(d.Stats().ColdOverload, ShouldEqual, 1)
 			So(c.query("down").status, ShouldEqual, 0)
-			time.Sleep(80 * time.Millisecond)
+			time.Sleep(220 * time.Millisecond)
 			So(d.Stats().State, ShouldEqual, "Cold")
 			So(d.Stats().InFlight, ShouldEqual, 0)
 			So(count(c.together(2), 200), ShouldEqual, 2)
@@ -57,8 +56,7 @@
 			So(err, ShouldBeNil)
 			defer idle.Close()
 			eventually(func() bool { return d.Stats().Connections == 1 })
-			c.together(3)
-			So(d.Stats().ColdOverload, ShouldBeGreaterThan, 0)
+			c.overlapping(d, 3, func(s target.Stats) bool { return s.ColdOverload == 1 })
 			_ = idle.SetReadDeadline(time.Now().Add(2 * time.Second))
 			_, err = idle.Read(make([]byte, 1))
 			So(errors.Is(err, os.ErrDeadlineExceeded), ShouldBeFalse)
@@ -198,30 +196,6 @@
 	})
 }
 
-func TestServiceTimes(t *testing.T) {
-	// Guards against runs that differ with the same seed and against a wrong
-	// share of stragglers.
-	Convey("Service times by seed", t, func() {
-		run := func(seed uint64) []time.Duration {
-			s := quick()
-			s.Seed, s.Sigma, s.ServiceTimeMs, s.StraggleShare, s.StraggleFactor = seed, 0.5, 5, 0.01, 20
-			return target.ServiceTimes(s, 20_000)
-		}
-		first := run(1)
-		So(slices.Equal(run(1), first), ShouldBeTrue)
-		So(slices.Equal(run(2), first), ShouldBeFalse)
-		slices.Sort(first)
-		So(first[10_000].Seconds(), ShouldAlmostEqual, 0.005, 0.0003)
-		stragglers := 0
-		for _, d := range first {
-			if d > 40*time.Millisecond {
-				stragglers++
-			}
-		}
-		So(stragglers, ShouldBeBetween, 130, 280)
-	})
-}
-
 func TestControl(t *testing.T) {
 	// Guards against invalid commands that change something.
 	Convey("Invalid commands are refused as a whole", t, func() {
