Shorten two tests without changing what they check

Measured: go test -race -count=2 ./storer ./lister passes. Conclusion: same cases and assertions as before.

--- a/lister/lister_test.go
+++ b/lister/lister_test.go
@@ -63,22 +63,16 @@
 			Convey(c.name, func() {
 				bad := httptest.NewServer(c.answer)
 				good := httptest.NewServer(platform.New(clockwork.NewRealClock()))
-				settings := lister.Settings{Addresses: []string{bad.Listener.Addr().String()}, Timeout: 50 * time.Millisecond}
-				alone, err := lister.New(settings)
-				So(err, ShouldBeNil)
-				settings.Addresses = append(settings.Addresses, good.Listener.Addr().String())
-				both, err := lister.New(settings)
-				So(err, ShouldBeNil)
-				Reset(func() {
-					alone.Close()
-					both.Close()
-					bad.Close()
-					good.Close()
-				})
-				_, err = alone.List(context.Background())
-				So(err, ShouldNotBeNil)
-				_, err = both.List(context.Background())
-				So(err, ShouldBeNil)
+				Reset(bad.Close)
+				Reset(good.Close)
+				addresses := []string{bad.Listener.Addr().String(), good.Listener.Addr().String()}
+				for n := 1; n <= 2; n++ {
+					client, err := lister.New(lister.Settings{Addresses: addresses[:n], Timeout: 50 * time.Millisecond})
+					So(err, ShouldBeNil)
+					_, err = client.List(context.Background())
+					So(err == nil, ShouldEqual, n == 2)
+					client.Close()
+				}
 			})
 		}
 	})
--- a/storer/memory_test.go
+++ b/storer/memory_test.go
@@ -34,13 +34,14 @@
 			Convey(c.name, func() {
 				m := storer.NewMemory(clockwork.NewRealClock(), 1)
 				m.SetFaults(c.faults)
-				short, cancel := context.WithTimeout(ctx, 20*time.Millisecond)
-				defer cancel()
-				_, err := m.Get(short, "other")
+				short := func() context.Context {
+					limited, cancel := context.WithTimeout(ctx, 20*time.Millisecond)
+					Reset(cancel)
+					return limited
+				}
+				_, err := m.Get(short(), "other")
 				So(onlyIs(err), ShouldEqual, c.read)
-				short, cancel = context.WithTimeout(ctx, 20*time.Millisecond)
-				defer cancel()
-				_, err = m.Put(short, "k", []byte("v"), 0)
+				_, err = m.Put(short(), "k", []byte("v"), 0)
 				So(onlyIs(err), ShouldEqual, c.write)
 				time.Sleep(50 * time.Millisecond)
 				m.SetFaults(storer.Faults{})
