--- a/balancer/balancer_test.go
+++ b/balancer/balancer_test.go
@@ -99,6 +99,20 @@
 			fail(&a, failuresToEject, start)
 			return []Option{a, warm(8, 2, ms)}
 		}, 0, map[int]int{1: 1000}, nil},
+		{"overtaken in a row", func() []Option {
+			a := warm(0, 2, ms)
+			for range failuresToEject {
+				a.Replica.Begin()
+				a.Replica.Done(start, Overtaken, ms)
+			}
+			return []Option{a, warm(8, 2, ms)}
+		}, 0, map[int]int{1: 1000}, nil},
+		{"overtaken once", func() []Option {
+			a := warm(0, 2, ms)
+			a.Replica.Begin()
+			a.Replica.Done(start, Overtaken, ms)
+			return []Option{a, warm(0, 2, ms)}
+		}, 0, map[int]int{0: 300}, nil},
 		{"both failed: half stays", func() []Option {
 			a, b := warm(0, 2, ms), warm(0, 2, ms)
 			fail(&a, failuresToEject, start)
@@ -256,7 +270,7 @@
 			for range 2000 {
 				r := b.Replica(jujubegate.Address(fmt.Sprint(random.IntN(3))))
 				r.Begin()
-				r.Done(start, End(random.IntN(4)), time.Duration(random.IntN(1000)))
+				r.Done(start, End(random.IntN(5)), time.Duration(random.IntN(1000)))
 			}
 		})
 	}
--- a/balancer/replica.go
+++ b/balancer/replica.go
@@ -54,9 +54,12 @@
 	Failed
 	// Refused sub-requests found no capacity.
 	Refused
-	// Abandoned sub-requests were cancelled or belong to a broken stream; they
-	// tell nothing about the target but their age.
+	// Abandoned sub-requests were cancelled; they tell nothing about the target
+	// but their age.
 	Abandoned
+	// Overtaken sub-requests were hedged, and the hedge answered first. Several
+	// in a row speak against the target: it may be stalled.
+	Overtaken
 )
 
 const (
@@ -87,11 +90,14 @@
 		r.fail(now)
 	case Refused:
 		r.refusedUntil.Store(now.Add(refusalPause).UnixNano())
-	case Abandoned:
+	case Abandoned, Overtaken:
 		// A cancelled straggler took at least this long.
 		if took > r.Latency() {
 			r.observe(now, took)
 		}
+		if end == Overtaken {
+			r.fail(now)
+		}
 	}
 	r.probing.Store(false)
 }
--- a/querier/finish.go
+++ b/querier/finish.go
@@ -12,7 +12,7 @@
 // owners cancel it when the streams' context ends.
 func (r *run) endOutstanding(now time.Time) {
 	for shard := range r.shards {
-		r.abandon(now, shard)
+		r.abandon(now, shard, 0)
 	}
 	r.observe(now)
 }
--- a/querier/handle.go
+++ b/querier/handle.go
@@ -70,7 +70,7 @@
 	case merger.Accepted:
 		r.end(now, result.Shard, a, balancer.Answered)
 		r.didRun = true
-		r.close(now, result.Shard)
+		r.close(now, result.Shard, result.Attempt)
 	case merger.Late:
 		r.end(now, result.Shard, a, balancer.Answered)
 	case merger.OtherSnapshot:
@@ -110,25 +110,30 @@
 	}
 }
 
-// close ends an answered shard and cancels its other attempts.
-func (r *run) close(now time.Time, shard int) {
+// close ends a shard that the attempt answered and cancels its other attempts.
+func (r *run) close(now time.Time, shard, winner int) {
 	s := &r.shards[shard]
 	if !s.closed {
 		s.closed = true
 		r.pending--
 	}
-	r.abandon(now, shard)
+	r.abandon(now, shard, winner)
 }
 
-// abandon cancels the outstanding attempts of a shard.
-func (r *run) abandon(now time.Time, shard int) {
+// abandon cancels the outstanding attempts of a shard. Those from before the
+// winner were overtaken; there is none if the winner is 0.
+func (r *run) abandon(now time.Time, shard, winner int) {
 	s := &r.shards[shard]
 	for i := range s.attempts {
 		a := &s.attempts[i]
 		if a.ended {
 			continue
 		}
-		r.end(now, shard, a, balancer.Abandoned)
+		end := balancer.Abandoned
+		if i+1 < winner {
+			end = balancer.Overtaken
+		}
+		r.end(now, shard, a, end)
 		r.samples = append(r.samples, now.Sub(a.sentAt))
 		if a.stream != notSent {
 			r.mayHaveRun = true
--- a/querier/rerun.go
+++ b/querier/rerun.go
@@ -21,7 +21,7 @@
 	r.q.Counters.Reruns.Add(1)
 	r.countDropped()
 	for shard := range r.shards {
-		r.abandon(now, shard)
+		r.abandon(now, shard, 0)
 		s := &r.shards[shard]
 		s.base, s.tried, s.hedges = len(s.attempts), 0, 0
 		s.hedgeFailed, s.closed, s.lost = false, false, false
