Bound sub-requests instead of queries in flight

Cause: 4,096 queries at fan-out 1,100 would need several gigabytes on a root. Change: the bound counts shards of admitted queries, 65,536 in all; run-time checks of P1 when a result is accepted and of P2 when an answer is merged. Conclusion: memory of queries is bounded whatever their fan-out.

--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -24,8 +24,9 @@
 )
 
 const (
-	// maxInFlight bounds the queries of this root, and thereby its memory.
-	maxInFlight = 4096
+	// maxInFlight bounds the sub-requests of this root, and thereby its memory:
+	// a query of 1,100 shards with two replicas keeps 720 bytes per shard.
+	maxInFlight = 1 << 16
 	// priorities is the number of priority classes; larger ones are more important.
 	priorities = 4
 	// tick is the period of the demand estimates and of the credit.
@@ -52,6 +53,7 @@
 // Ticket is the admission of one query.
 type Ticket struct {
 	service jujubegate.Service
+	shards  int
 	epoch   int
 }
 
@@ -62,15 +64,15 @@
 	classes    [priorities]class
 }
 
-// Admit admits a query, or refuses it with the time to retry. Priorities beyond
-// the known classes count as the nearest one.
-func (a *Admitter) Admit(now time.Time, name jujubegate.Service, priority int, caller jujubegate.Caller) (Ticket, *jujubegate.Refusal) {
+// Admit admits a query of the number of shards, or refuses it with the time to
+// retry. Priorities beyond the known classes count as the nearest one.
+func (a *Admitter) Admit(now time.Time, name jujubegate.Service, shards, priority int, caller jujubegate.Caller) (Ticket, *jujubegate.Refusal) {
 	priority = min(max(priority, 0), priorities-1)
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	// The last places are for the more important priorities.
-	if a.inFlight >= maxInFlight*(priority+1)/priorities {
-		return Ticket{}, refuse(minRetryAfter, fmt.Sprintf("%d queries are in flight", a.inFlight))
+	if a.inFlight > 0 && a.inFlight+shards > maxInFlight*(priority+1)/priorities {
+		return Ticket{}, refuse(minRetryAfter, fmt.Sprintf("%d sub-requests are in flight", a.inFlight))
 	}
 	s, ok := a.services[name]
 	if !ok {
@@ -84,15 +86,15 @@
 			name, s.controller.limit, c.quota))
 	}
 	s.controller.admitted++
-	a.inFlight++
-	return Ticket{service: name, epoch: s.controller.epoch}, nil
+	a.inFlight += shards
+	return Ticket{service: name, shards: shards, epoch: s.controller.epoch}, nil
 }
 
 // Done ends an admitted query.
 func (a *Admitter) Done(now time.Time, t Ticket, result Result) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.inFlight--
+	a.inFlight -= t.shards
 	s, ok := a.services[t.service]
 	if !ok {
 		return
@@ -116,7 +118,7 @@
 	return s.controller.limit, s.controller.limited
 }
 
-// InFlight returns the number of admitted queries without an end.
+// InFlight returns the number of shards of the admitted queries without an end.
 func (a *Admitter) InFlight() int {
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- a/admitter/admitter_test.go
+++ b/admitter/admitter_test.go
@@ -101,7 +101,7 @@
 		step := func(result Result) (admitted int) {
 			for range 100 {
 				now = now.Add(10 * time.Millisecond)
-				if ticket, refusal := a.Admit(now, "Repairs", 2, "a"); refusal == nil {
+				if ticket, refusal := a.Admit(now, "Repairs", 20, 2, "a"); refusal == nil {
 					admitted++
 					a.Done(now, ticket, result)
 				}
@@ -134,7 +134,7 @@
 	Convey("With many queries in flight", t, func() {
 		a := New()
 		admit := func(priority int) *jujubegate.Refusal {
-			_, refusal := a.Admit(start, "Repairs", priority, "a")
+			_, refusal := a.Admit(start, "Repairs", 16, priority, "a")
 			return refusal
 		}
 		count := func(priority int) int {
@@ -144,14 +144,14 @@
 			}
 			return n
 		}
-		So(count(1), ShouldEqual, maxInFlight/2)
-		So(count(2), ShouldEqual, maxInFlight/4)
-		So(count(7), ShouldEqual, maxInFlight/4)
+		So(count(1), ShouldEqual, maxInFlight/2/16)
+		So(count(2), ShouldEqual, maxInFlight/4/16)
+		So(count(7), ShouldEqual, maxInFlight/4/16)
 		refusal := admit(3)
 		So(refusal.Reason, ShouldEqual, jujubegate.Overloaded)
 		So(refusal.Outcome, ShouldEqual, jujubegate.NotRun)
 		So(refusal.RetryAfter, ShouldBeGreaterThan, 0)
-		a.Done(start, Ticket{service: "Repairs"}, Neutral)
+		a.Done(start, Ticket{service: "Repairs", shards: 16}, Neutral)
 		So(admit(3), ShouldBeNil)
 		So(a.InFlight(), ShouldEqual, maxInFlight)
 	})
@@ -161,10 +161,10 @@
 		refused := 0
 		for range 4000 {
 			now = now.Add(time.Millisecond)
-			if ticket, refusal := a.Admit(now, "Bad", 3, "a"); refusal == nil {
+			if ticket, refusal := a.Admit(now, "Bad", 20, 3, "a"); refusal == nil {
 				a.Done(now, ticket, Congested)
 			}
-			ticket, refusal := a.Admit(now, "Repairs", 1, "a")
+			ticket, refusal := a.Admit(now, "Repairs", 20, 1, "a")
 			if refusal != nil {
 				refused++
 				continue
@@ -179,7 +179,7 @@
 		admitted := 0
 		for i := range 60_000 {
 			now = now.Add(time.Millisecond)
-			ticket, refusal := a.Admit(now, "Repairs", 1, jujubegate.Caller(fmt.Sprint(i)))
+			ticket, refusal := a.Admit(now, "Repairs", 20, 1, jujubegate.Caller(fmt.Sprint(i)))
 			if refusal != nil {
 				continue
 			}
@@ -207,7 +207,7 @@
 			now := start
 			for range 3000 {
 				now = now.Add(time.Duration(random.IntN(2000)) * time.Microsecond)
-				if ticket, refusal := a.Admit(now, "Repairs", random.IntN(5), "a"); refusal == nil {
+				if ticket, refusal := a.Admit(now, "Repairs", 20, random.IntN(5), "a"); refusal == nil {
 					a.Done(now, ticket, Result(random.IntN(3)))
 				}
 			}
@@ -215,7 +215,7 @@
 	}
 	group.Wait()
 	if n := a.InFlight(); n != 0 {
-		t.Fatalf("%d queries in flight", n)
+		t.Fatalf("%d sub-requests in flight", n)
 	}
 }
 
@@ -230,7 +230,7 @@
 	b.ReportAllocs()
 	for i := 0; b.Loop(); i++ {
 		now = now.Add(time.Millisecond)
-		ticket, refusal := a.Admit(now, "Repairs", 2, callers[i%len(callers)])
+		ticket, refusal := a.Admit(now, "Repairs", 20, 2, callers[i%len(callers)])
 		if refusal == nil {
 			a.Done(now, ticket, Good)
 		}
--- a/admitter/overload_test.go
+++ b/admitter/overload_test.go
@@ -95,7 +95,7 @@
 		if len(s.roots) > 0 {
 			c.root = s.random.IntN(len(s.roots))
 			var refusal *jujubegate.Refusal
-			c.ticket, refusal = s.roots[c.root].Admit(now, "Repairs", sources[class].priority, sources[class].caller)
+			c.ticket, refusal = s.roots[c.root].Admit(now, "Repairs", simShards, sources[class].priority, sources[class].caller)
 			if refusal != nil {
 				continue
 			}
--- a/merger/merger.go
+++ b/merger/merger.go
@@ -201,6 +201,8 @@
 	Rows []byte
 	// Shards is the number of shards that the rows come from.
 	Shards int
+	// Keys is the number of keys of those shards.
+	Keys uint64
 	// Disputed is the number of answered shards that are left out because an
 	// unanswered shard claimed some of their keys.
 	Disputed int
@@ -225,6 +227,7 @@
 			merged.Disputed++
 		} else if s.answered {
 			merged.Shards++
+			merged.Keys += s.keys.Len()
 			size += len(s.rows) + 1
 		}
 	}
--- a/querier/finish.go
+++ b/querier/finish.go
@@ -29,6 +29,9 @@
 		r.q.Violation("P2", err.Error())
 		return answer, r.refusal(&jujubegate.Refusal{Reason: jujubegate.BadAnswer, Detail: err.Error()})
 	}
+	if missing := missingKeys(merged.Coverage); merged.Keys+missing != jujubegate.KeySpace {
+		r.q.Violation("P2", fmt.Sprintf("query %s: %d keys answered and %d missing", r.id, merged.Keys, missing))
+	}
 	answer.Coverage, answer.Rows, answer.Shards = merged.Coverage, merged.Rows, merged.Shards
 	whole := merged.Coverage.Whole()
 	if merged.Shards == len(r.shards) && whole {
@@ -77,3 +80,11 @@
 func (r *run) ampleTime() bool {
 	return r.request.Timeout <= 0 || 2*r.request.Timeout >= r.service.spec.Deadline
 }
+
+func missingKeys(c jujubegate.Coverage) uint64 {
+	var keys uint64
+	for _, r := range c.Missing() {
+		keys += r.Len()
+	}
+	return keys
+}
--- a/querier/handle.go
+++ b/querier/handle.go
@@ -68,6 +68,9 @@
 	}
 	switch verdict {
 	case merger.Accepted:
+		if result.Snapshot != r.snapshot {
+			r.q.Violation("P1", fmt.Sprintf("query %s at snapshot %d accepted %d", r.id, r.snapshot, result.Snapshot))
+		}
 		r.end(now, result.Shard, a, balancer.Answered)
 		r.didRun = true
 		r.close(now, result.Shard, result.Attempt)
--- a/querier/querier.go
+++ b/querier/querier.go
@@ -154,7 +154,7 @@
 	if refusal != nil {
 		return Answer{}, q.refused(request, "", refusal)
 	}
-	ticket, refusal := q.Admitter.Admit(now, request.Service, int(service.spec.Priority), request.Caller)
+	ticket, refusal := q.Admitter.Admit(now, request.Service, len(service.shards), int(service.spec.Priority), request.Caller)
 	if refusal != nil {
 		return Answer{}, q.refused(request, "", refusal)
 	}
