Let targets drain and lose their owner in random fleets

Change: targets drain and lose their owner at random; a sub-request to one of them after that moment is a fault.

--- a/querier/fleet_test.go
+++ b/querier/fleet_test.go
@@ -38,6 +38,9 @@
 	book     *ReportBook
 	topo     *fakeTopology
 	outSince time.Time
+	// draining and ownerless are the targets that must get nothing, since when.
+	draining  map[jujubegate.Address]time.Time
+	ownerless map[jujubegate.Address]time.Time
 }
 
 // row is what a target answers; it states the truth about its origin.
@@ -57,6 +60,7 @@
 		hostility: []int{0, 5, 20, 60}[random.IntN(4)], lies: func(*jujubegate.SubResult) {},
 		newest: 3, held: make(map[jujubegate.Address][]jujubegate.Snapshot), ran: make(map[string]int),
 		returned: make(map[string]bool), sent: make(map[string]int), book: NewReportBook(),
+		draining: make(map[jujubegate.Address]time.Time), ownerless: make(map[jujubegate.Address]time.Time),
 	}
 	f.topo = newTopology(f.shards, f.replicas)
 	f.topo.spec.Deadline = 160 * time.Millisecond
@@ -76,8 +80,12 @@
 // report puts the truth about a target into the book; the caller holds the lock
 // or is alone.
 func (f *fleet) report(a jujubegate.Address) {
+	state := jujubegate.Warm
+	if _, ok := f.draining[a]; ok {
+		state = jujubegate.Draining
+	}
 	f.book.Put([]jujubegate.TargetReport{{
-		Target: a, State: jujubegate.Warm, Limit: 4, Latency: 5 * time.Millisecond,
+		Target: a, State: state, Limit: 4, Latency: 5 * time.Millisecond,
 		Snapshots: slices.Clone(f.held[a]),
 	}})
 }
@@ -107,6 +115,10 @@
 		f.topo, f.outSince = &next, time.Now()
 	}
 	f.newest++
+	t := f.topo.targets[random.IntN(len(f.topo.targets))].Address
+	toggle(f.draining, t, random)
+	f.report(t)
+	toggle(f.ownerless, f.topo.targets[random.IntN(len(f.topo.targets))].Address, random)
 	for _, t := range f.topo.targets {
 		if random.IntN(5) > 0 {
 			f.held[t.Address] = append(slices.Clone(f.held[t.Address]), f.newest)
@@ -120,6 +132,24 @@
 	}
 }
 
+func toggle(since map[jujubegate.Address]time.Time, a jujubegate.Address, random *rand.Rand) {
+	if _, ok := since[a]; ok {
+		delete(since, a)
+	} else if random.IntN(4) == 0 {
+		since[a] = time.Now()
+	}
+}
+
+// owner returns the owner of a target, if it has one.
+func (f *fleet) owner(a jujubegate.Address, next func(jujubegate.Address) (leaser.Member, bool)) (leaser.Member, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if _, ok := f.ownerless[a]; ok {
+		return leaser.Member{}, false
+	}
+	return next(a)
+}
+
 // keys is the partition map of a snapshot: cut points from its number.
 func (f *fleet) keys(shard int, snapshot jujubegate.Snapshot) jujubegate.KeyRange {
 	cuts := rand.New(rand.NewPCG(f.seed, uint64(snapshot))).Perm(fleetSlots - 1)[:f.shards-1]
@@ -200,6 +230,12 @@
 	if f.returned[b.QueryID] && ctx.Err() == nil {
 		f.faults = append(f.faults, "sub-request after the end of its query")
 	}
+	if at, ok := f.draining[sub.Target]; ok && time.Since(at) > 0 {
+		f.faults = append(f.faults, "sub-request to a draining target")
+	}
+	if at, ok := f.ownerless[sub.Target]; ok && time.Since(at) > 0 {
+		f.faults = append(f.faults, "sub-request to a target without an owner")
+	}
 	if b.Order {
 		f.faults = append(f.faults, "query sent as an order")
 	}
--- a/querier/random_test.go
+++ b/querier/random_test.go
@@ -16,6 +16,7 @@
 	"github.com/jonboulle/clockwork"
 
 	"jujubegate.example/jujubegate"
+	"jujubegate.example/jujubegate/leaser"
 )
 
 func caseCount(small int) int {
@@ -44,6 +45,8 @@
 		q := newFake(f.topo, clockwork.NewRealClock(), 1+random.IntN(6))
 		q.Reports, q.Observed, q.Dispatch = f.book.Get, f.book.Put, f.dispatch
 		q.topology = f.topology
+		owner := q.Owner
+		q.Owner = func(a jujubegate.Address) (leaser.Member, bool) { return f.owner(a, owner) }
 		ids := uint64(0)
 		q.NewID = func() string { return fmt.Sprintf("%d-%d", seed, atomic.AddUint64(&ids, 1)) }
 		q.Violation = func(name, detail string) { broken = fmt.Errorf("violation of %s: %s", name, detail) }
