Add benchmark of queries in parallel

Cause: locks shared by concurrent queries would not show in a sequential run. Change: BenchmarkQueryInParallel.

--- a/querier/bench_test.go
+++ b/querier/bench_test.go
@@ -23,39 +23,65 @@
 func BenchmarkQuery(b *testing.B) {
 	for _, shards := range []int{20, 30, 1100} {
 		b.Run(fmt.Sprintf("FanOut=%d", shards), func(b *testing.B) {
-			f := newTopology(shards, 2)
-			f.spec.Deadline = 10 * time.Second
-			q := newRealFake(f, max(2*shards/5, 8))
-			rows := make([][]byte, shards)
-			for i := range rows {
-				rows[i] = fmt.Appendf(nil, `[{"Shard":%d,"Name":"barometer"}]`, i)
-			}
-			q.Dispatch = func(_ context.Context, _ leaser.Member, batch jujubegate.Batch,
-				deliver func([]jujubegate.SubResult, []jujubegate.TargetReport),
-			) error {
-				results := make([]jujubegate.SubResult, len(batch.SubRequests))
-				for i, sub := range batch.SubRequests {
-					results[i] = jujubegate.SubResult{
-						Shard: sub.Shard, Attempt: sub.Attempt, Target: sub.Target, Snapshot: batch.Snapshot,
-						Range: keysOf(sub.Shard, shards), Rows: rows[sub.Shard],
-					}
-				}
-				deliver(results, nil)
-				return nil
-			}
-			request := Request{Service: fakeService, Route: fakeRoute, Caller: "zora"}
+			q := newBenchQuerier(shards)
 			b.ReportAllocs()
 			cpu := cpuTime()
 			for b.Loop() {
-				if answer, refusal := q.Query(context.Background(), request); refusal != nil || !answer.Coverage.Whole() {
-					b.Fatal(refusal)
-				}
+				benchQuery(b, q)
 			}
 			b.ReportMetric(float64((cpuTime()-cpu).Nanoseconds())/float64(b.N*shards), "cpu-ns/sub-request")
 		})
 	}
 }
 
+// BenchmarkQueryInParallel shows what concurrent queries cost each other.
+func BenchmarkQueryInParallel(b *testing.B) {
+	for _, shards := range []int{20, 1100} {
+		b.Run(fmt.Sprintf("FanOut=%d", shards), func(b *testing.B) {
+			q := newBenchQuerier(shards)
+			b.ReportAllocs()
+			cpu := cpuTime()
+			b.RunParallel(func(p *testing.PB) {
+				for p.Next() {
+					benchQuery(b, q)
+				}
+			})
+			b.ReportMetric(float64((cpuTime()-cpu).Nanoseconds())/float64(b.N*shards), "cpu-ns/sub-request")
+		})
+	}
+}
+
+func benchQuery(b *testing.B, q *Querier) {
+	request := Request{Service: fakeService, Route: fakeRoute, Caller: "zora"}
+	if answer, refusal := q.Query(context.Background(), request); refusal != nil || !answer.Coverage.Whole() {
+		b.Error(refusal)
+	}
+}
+
+func newBenchQuerier(shards int) *Querier {
+	f := newTopology(shards, 2)
+	f.spec.Deadline = 10 * time.Second
+	q := newRealFake(f, max(2*shards/5, 8))
+	rows := make([][]byte, shards)
+	for i := range rows {
+		rows[i] = fmt.Appendf(nil, `[{"Shard":%d,"Name":"barometer"}]`, i)
+	}
+	q.Dispatch = func(_ context.Context, _ leaser.Member, batch jujubegate.Batch,
+		deliver func([]jujubegate.SubResult, []jujubegate.TargetReport),
+	) error {
+		results := make([]jujubegate.SubResult, len(batch.SubRequests))
+		for i, sub := range batch.SubRequests {
+			results[i] = jujubegate.SubResult{
+				Shard: sub.Shard, Attempt: sub.Attempt, Target: sub.Target, Snapshot: batch.Snapshot,
+				Range: keysOf(sub.Shard, shards), Rows: rows[sub.Shard],
+			}
+		}
+		deliver(results, nil)
+		return nil
+	}
+	return q
+}
+
 // BenchmarkPrepare is the root's decisions for a query, without the streams: the
 // snapshot, the replica of every shard and the batches per owner.
 func BenchmarkPrepare(b *testing.B) {
