Give cold targets a share by their limit

Cause: all roots see the free slot of a cold target in the same report and would fill its queue at once when a data centre returns. Tail test with five stalled targets of one instance. Conclusion: not measured with several roots and owners.

--- a/balancer/balancer_test.go
+++ b/balancer/balancer_test.go
@@ -75,6 +75,11 @@
 			a.Replica.Begin()
 			return []Option{a, warm(8, 2, ms)}
 		}, 0, map[int]int{1: 1000}, nil},
+		{"cold with half the limit gets a small share", func() []Option {
+			a := warm(0, 1, ms)
+			a.State = jujubegate.Cold
+			return []Option{a, warm(0, 2, ms)}
+		}, 0, map[int]int{0: 60}, map[int]int{0: 160}},
 		{"20 times slower", func() []Option { return []Option{warm(0, 2, 100*ms), warm(0, 2, 5*ms)} }, 0, nil, map[int]int{0: 5}},
 		{"long queue", func() []Option { return []Option{warm(8, 2, 5*ms), warm(0, 2, 5*ms)} }, 0, nil, map[int]int{0: 100}},
 		{"report hides a straggler", func() []Option {
@@ -246,8 +251,8 @@
 		want := naiveSet(start, options, skip)
 		seen := make(map[int]bool)
 		random := newRandom()
-		// The least preferred one of two gets 1 in 140 of the requests here.
-		for n := 0; n < 200 || n < 20_000 && len(want) > 1 && len(seen) < 2; n++ {
+		// The least preferred one of two gets 1 in 3,600 of the requests here.
+		for n := 0; n < 200 || n < 200_000 && len(want) > 1 && len(seen) < 2; n++ {
 			i := Choose(start, options, skip, random)
 			if len(want) == 0 && i != -1 || len(want) > 0 && !want[i] {
 				t.Fatalf("chose %d, allowed are %v", i, want)
--- a/balancer/choose.go
+++ b/balancer/choose.go
@@ -135,7 +135,7 @@
 		second++
 	}
 	a, b := nth(set, first), nth(set, second)
-	if random.Float64() < preference(options[a].expected(at), options[b].expected(at)) {
+	if random.Float64() < preference(options[a].against(&options[b], at), options[b].against(&options[a], at)) {
 		return a
 	}
 	return b
@@ -161,6 +161,17 @@
 // at least what this root has there itself, since the report may be stale.
 func (o *Option) load() int { return max(o.Load, o.Replica.Outstanding()) }
 
+// against returns the expected time, for a cold target scaled by the other one's
+// limit over its own: all roots see the free slot of a cold target in the same
+// report, and would fill its queue at once.
+func (o *Option) against(other *Option, at int64) time.Duration {
+	expected := o.expected(at)
+	if o.State == jujubegate.Cold && other.Limit > o.Limit {
+		expected = expected * time.Duration(other.Limit) / time.Duration(o.Limit)
+	}
+	return expected
+}
+
 // expected returns the time to an answer: the queue that exceeds the limit,
 // the service itself, and the distance.
 func (o *Option) expected(at int64) time.Duration {
--- a/querier/tail_test.go
+++ b/querier/tail_test.go
@@ -33,7 +33,7 @@
 	// slowShare is the share of sub-requests that take 20 times as long.
 	slowShare float64
 	// stalled answers nothing from 5 s to 15 s; down refuses from 5 s on.
-	stalled jujubegate.Address
+	stalled []jujubegate.Address
 	down    jujubegate.Address
 	sent    int
 }
@@ -61,7 +61,7 @@
 	if target == w.down && elapsed > 5*time.Second {
 		return &jujubegate.Refusal{Reason: jujubegate.TargetDown, Outcome: jujubegate.NotRun}, nil
 	}
-	if target == w.stalled && elapsed > 5*time.Second && elapsed < 15*time.Second {
+	if slices.Contains(w.stalled, target) && elapsed > 5*time.Second && elapsed < 15*time.Second {
 		took = time.Hour
 	}
 	select {
@@ -197,7 +197,12 @@
 		complete float64
 	}{
 		{"1 in 100 sub-requests 20 times slower", func(w *tailTargets) { w.slowShare = 0.01 }, 0.99, 0.4, 0.999},
-		{"one target stalls for 10 s", func(w *tailTargets) { w.stalled = address(3, 0) }, 0.999, 0.3, 0.999},
+		{"one target stalls for 10 s", func(w *tailTargets) { w.stalled = []jujubegate.Address{address(3, 0)} }, 0.999, 0.3, 0.999},
+		{"an instance with 5 targets hangs for 10 s", func(w *tailTargets) {
+			for shard := 0; shard < tailShards; shard += 4 {
+				w.stalled = append(w.stalled, address(shard, 0))
+			}
+		}, 0.99, 0.3, 0.99},
 		{"one target is down", func(w *tailTargets) { w.down = address(3, 0) }, 0.99, 1.5, 0.999},
 	}
 	for _, c := range cases {
