--- a/balancer/choose.go
+++ b/balancer/choose.go
@@ -28,6 +28,12 @@
 const (
 	// unknownLatency stands in for a target that neither side has measured.
 	unknownLatency = 5 * time.Millisecond
+	// freshLatencies is the age, in latencies of the target, up to which a
+	// reported queue is believed. In a simulation of 8 roots with reports that
+	// are half a second old, older queues raised the p99 from 31 to 281 ms.
+	freshLatencies = 3
+	// maxQueued bounds the reported queue, in multiples of the limit.
+	maxQueued = 4
 	// maxReportedError bounds the factor by which an owner's report may differ
 	// from this root's own latency before the root's figure is used alone.
 	maxReportedError = 4
@@ -135,7 +141,7 @@
 		second++
 	}
 	a, b := nth(set, first), nth(set, second)
-	if random.Float64() < preference(options[a].expected(at), options[b].expected(at)) {
+	if random.Float64() < preference(options[a].against(&options[b], at), options[b].against(&options[a], at)) {
 		return a
 	}
 	return b
@@ -161,17 +167,28 @@
 // at least what this root has there itself, since the report may be stale.
 func (o *Option) load() int { return max(o.Load, o.Replica.Outstanding()) }
 
-// expected returns the time to an answer: the queue that exceeds the limit,
-// the service itself, and the distance.
+// against returns the expected time, for a cold target scaled by the other one's
+// limit over its own: all roots see the free slot of a cold target in the same
+// report, and would fill its queue at once.
+func (o *Option) against(other *Option, at int64) time.Duration {
+	expected := o.expected(at)
+	if o.State == jujubegate.Cold && other.Limit > o.Limit {
+		expected = expected * time.Duration(other.Limit) / time.Duration(o.Limit)
+	}
+	return expected
+}
+
+// expected returns a measure of the time to an answer: the latency, which
+// includes queueing at the owner, the requests that this root has there already,
+// the reported queue if it is fresh, and the distance.
 func (o *Option) expected(at int64) time.Duration {
 	latency := o.latency(at)
-	wait := time.Duration(0)
-	if waiting := o.load() + 1 - o.Limit; waiting > 0 {
-		wait = latency * time.Duration(waiting) / time.Duration(o.Limit)
+	expected := latency*time.Duration(1+2*o.Replica.Outstanding()) + o.Distance
+	if o.Replica.loadAge(at, o.Load) <= freshLatencies*latency {
+		queued := min(max(o.Load-o.Limit, 0), maxQueued*o.Limit)
+		expected += latency * time.Duration(queued) / time.Duration(o.Limit)
 	}
-	// A target with fewer requests in its slots is preferred among equals.
-	busy := latency * time.Duration(min(o.load(), o.Limit)) / time.Duration(8*o.Limit)
-	return wait + latency + busy + o.Distance
+	return expected
 }
 
 // latency returns the mean of the owner's figure and this root's own one, or
