Name the reasons of refusals in the measured figures

Cause: a run beside other work on the machine had 54.6% whole answers with one target down, an idle one 100%, and the figure did not say what was refused. Change: a figure's detail counts partial answers and refusals by reason.

--- a/measurer/load.go
+++ b/measurer/load.go
@@ -2,11 +2,14 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"sync"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"jujubegate.example/jujubegate"
 )
 
 // Ask sends one query and reports whether its answer was whole.
@@ -31,6 +34,8 @@
 	Partial int
 	Failed  int
 	Elapsed time.Duration
+	// Reasons counts the queries without an answer by reason.
+	Reasons map[string]int
 
 	latency *hdrhistogram.Histogram
 }
@@ -49,7 +54,7 @@
 // Run sends the load and waits for all answers.
 func (l Load) Run(ctx context.Context, ask Ask) *Outcome {
 	random := rand.New(rand.NewPCG(l.Seed, l.Seed))
-	outcome := &Outcome{latency: hdrhistogram.New(1, (2 * l.Timeout).Microseconds(), 3)}
+	outcome := &Outcome{Reasons: make(map[string]int), latency: hdrhistogram.New(1, (2 * l.Timeout).Microseconds(), 3)}
 	var mu sync.Mutex
 	var inFlight int
 	var answers sync.WaitGroup
@@ -100,6 +105,7 @@
 	switch {
 	case err != nil:
 		o.Failed++
+		o.Reasons[reason(err)]++
 	case whole:
 		o.Whole++
 	default:
@@ -111,3 +117,17 @@
 	// The value is bounded by the histogram's range.
 	_ = o.latency.RecordValue(min(took, 2*timeout).Microseconds())
 }
+
+// reason returns the reason of a refusal, or the kind of another error.
+func reason(err error) string {
+	var refusal *jujubegate.Refusal
+	switch {
+	case errors.As(err, &refusal):
+		return string(refusal.Reason)
+	case errors.Is(err, context.DeadlineExceeded):
+		return "Timeout"
+	case errors.Is(err, errTooMany):
+		return "TooMany"
+	}
+	return "Failed"
+}
--- a/measurer/query.go
+++ b/measurer/query.go
@@ -91,8 +91,9 @@
 
 // describe gives the quantile and the whole answers of both sides.
 func describe(ours, naive *Outcome, q float64) string {
-	return fmt.Sprintf("p50 %v and %v, p%v %v and %v, whole %d of %d and %d of %d",
-		ours.Quantile(50), naive.Quantile(50), q, ours.Quantile(q), naive.Quantile(q), ours.Whole, ours.Sent, naive.Whole, naive.Sent)
+	return fmt.Sprintf("p50 %v and %v, p%v %v and %v, whole %d of %d and %d of %d, partial %d, refused %v",
+		ours.Quantile(50), naive.Quantile(50), q, ours.Quantile(q), naive.Quantile(q), ours.Whole, ours.Sent,
+		naive.Whole, naive.Sent, ours.Partial, ours.Reasons)
 }
 
 // stall holds all requests of one target for a quarter of the load.
