--- a/configurator/fake_test.go
+++ b/configurator/fake_test.go
@@ -148,3 +148,17 @@
 		}
 	}
 }
+
+// setDown makes all calls fail with ErrUnavailable, or ends that.
+func (s *fakeStore) setDown(down bool) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.down = down
+}
+
+// heal ends all faults.
+func (s *fakeStore) heal() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.down, s.lostRate, s.downRate, s.delayRate = false, 0, 0, 0
+}
--- a/configurator/follower.go
+++ b/configurator/follower.go
@@ -146,14 +146,17 @@
 	}
 }
 
+// announce passes changes on to peers. Snapshots are not passed on: a peer
+// that lacks one asks for it.
 func (f *Follower) announce(applied []Change) {
+	applied = slices.DeleteFunc(applied, func(c Change) bool { return isSnapshotText(c.Statements) })
 	if len(applied) > 0 && f.OnChange != nil {
 		f.OnChange(applied)
 	}
 }
 
 // Load reads the newest generation from the store: the snapshot and the
-// changes after it.
+// changes after it. It does not call OnChange, as peers have these already.
 func (f *Follower) Load(ctx context.Context) error {
 	snapshot, _, err := f.log.ReadSnapshot(ctx)
 	if err != nil {
@@ -166,29 +169,31 @@
 		}
 	}
 	// The change of the current generation is read again for its revision.
-	if err := f.catchUp(ctx, max(0, f.Current().Generation()-1)); err != nil {
+	if _, err := f.catchUp(ctx, max(0, f.Current().Generation()-1)); err != nil {
 		return err
 	}
 	f.loaded.Store(true)
 	return nil
 }
 
-// catchUp reads and applies all changes after a generation.
-func (f *Follower) catchUp(ctx context.Context, after jujubegate.Generation) error {
+// catchUp reads and applies all changes after a generation, and returns those
+// that were new.
+func (f *Follower) catchUp(ctx context.Context, after jujubegate.Generation) ([]Change, error) {
+	var all []Change
 	for {
 		start := f.clock.Now()
 		page, more, err := f.log.Read(ctx, after)
 		if err != nil {
-			return err
+			return all, err
 		}
 		applied, err := f.advance(page.Changes, page.Revision)
-		f.announce(applied)
+		all = append(all, applied...)
 		if err != nil {
-			return err
+			return all, err
 		}
 		if !more {
 			f.confirm(start)
-			return nil
+			return all, nil
 		}
 		after = page.Changes[len(page.Changes)-1].Generation
 	}
--- a/configurator/follower_test.go
+++ b/configurator/follower_test.go
@@ -2,8 +2,9 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
 	"testing"
-	"time"
 
 	"github.com/jonboulle/clockwork"
 	. "github.com/smartystreets/goconvey/convey"
@@ -25,19 +26,132 @@
 	return New(s.store(), clockwork.NewRealClock(), zap.NewNop())
 }
 
-func TestProposeAndLoad(t *testing.T) {
-	// Guards against a started instance that misses accepted changes.
-	Convey("A change accepted by one follower is loaded by another", t, func() {
+// alter returns a statement that is accepted any number of times.
+func alter(i int) string { return fmt.Sprintf("Alter Service Desk { Slots = %d; };", 1+i%25) }
+
+// proposeAll proposes texts that must be accepted.
+func proposeAll(t *testing.T, f *Follower, texts ...string) {
+	t.Helper()
+	for _, text := range texts {
+		if _, err := f.Propose(context.Background(), text, "ivan"); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
+// history proposes deskText and changes up to a generation.
+func history(t *testing.T, f *Follower, generation int) {
+	t.Helper()
+	proposeAll(t, f, deskText)
+	for i := 2; i <= generation; i++ {
+		proposeAll(t, f, alter(i))
+	}
+}
+
+func TestOffer(t *testing.T) {
+	// Guards against a follower that skips, repeats, reverts or mixes changes.
+	Convey("A follower with three generations", t, func() {
+		source, f := newFollower(newFakeStore(1)), newFollower(newFakeStore(1))
+		history(t, source, 5)
+		changes := source.After(0)
+		var violations []error
+		var pushed []Change
+		f.OnViolation = func(err error) { violations = append(violations, err) }
+		f.OnChange = func(changes []Change) { pushed = append(pushed, changes...) }
+		So(f.Offer(changes[:3]), ShouldBeNil)
+		So(pushed, ShouldResemble, changes[:3])
+		other := changes[1]
+		other.Token = "other"
+		invalid := changes[3]
+		invalid.Statements = "Drop Service Other;"
+		again := changes[3]
+		again.Statements = "Show Services;"
+		cases := []struct {
+			name       string
+			offered    []Change
+			generation jujubegate.Generation
+			gap        bool
+			violations int
+			pushed     int
+		}{
+			{"known", changes[:3], 3, false, 0, 0},
+			{"older", changes[:1], 3, false, 0, 0},
+			{"next", changes[3:4], 4, false, 0, 1},
+			{"all, out of sequence", []Change{changes[4], changes[2], changes[3]}, 5, false, 0, 2},
+			{"a gap", changes[4:], 3, true, 0, 0},
+			{"a different one of a known generation", []Change{other}, 3, false, 1, 0},
+			{"one that does not apply", []Change{invalid}, 3, false, 1, 0},
+			{"one that changes nothing", []Change{again}, 3, false, 1, 0},
+			{"a snapshot of a newer generation", []Change{source.current.Load().snapshot()}, 5, false, 0, 0},
+		}
+		for _, c := range cases {
+			Convey(c.name, func() {
+				err := f.Offer(c.offered)
+				var gap *GapError
+				So(errors.As(err, &gap), ShouldEqual, c.gap)
+				So(f.Current().Generation(), ShouldEqual, c.generation)
+				So(violations, ShouldHaveLength, c.violations)
+				So(pushed, ShouldHaveLength, 3+c.pushed)
+			})
+		}
+		Convey("a snapshot of an older generation", func() {
+			So(source.Offer([]Change{f.current.Load().snapshot()}), ShouldBeNil)
+			So(source.Current().Generation(), ShouldEqual, jujubegate.Generation(5))
+		})
+	})
+}
+
+func TestAfter(t *testing.T) {
+	// Guards against peers that receive an incomplete sequence.
+	Convey("Changes after a generation", t, func() {
+		source := newFollower(newFakeStore(1))
+		history(t, source, maxRecent+10)
+		cases := []struct {
+			after jujubegate.Generation
+			want  int
+		}{{maxRecent + 10, 0}, {maxRecent + 20, 0}, {maxRecent + 9, 1}, {10, maxRecent}, {9, 1}, {0, 1}}
+		for _, c := range cases {
+			changes := source.After(c.after)
+			So(changes, ShouldHaveLength, c.want)
+			f := newFollower(newFakeStore(1))
+			if c.after < 10 {
+				So(f.Offer(changes), ShouldBeNil)
+				So(f.Current(), ShouldResemble, source.Current())
+			}
+		}
+	})
+}
+
+func TestLoadFromSnapshot(t *testing.T) {
+	// Guards against a start that reads the whole log, and against a proposal
+	// that is applied twice after the instance that took it was replaced.
+	Convey("A follower with a snapshot at 64 and 70 generations", t, func() {
 		s := newFakeStore(1)
-		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
-		defer cancel()
-		a, b := newFollower(s), newFollower(s)
-		g, err := a.Propose(ctx, deskText, "ivan")
+		source := newFollower(s)
+		history(t, source, 63)
+		g, err := source.Submit(context.Background(), Proposal{Statements: alter(1), Token: "mine"})
+		So(err, ShouldBeNil)
+		So(g, ShouldEqual, jujubegate.Generation(64))
+		So(source.writeSnapshot(context.Background()), ShouldBeNil)
+		for i := range 6 {
+			proposeAll(t, source, alter(i))
+		}
+		s.calls = 0
+		f := newFollower(s)
+		So(f.Load(context.Background()), ShouldBeNil)
+		So(s.calls, ShouldEqual, 2)
+		So(f.Current(), ShouldResemble, source.Current())
+		So(f.ConfirmedAt().IsZero(), ShouldBeFalse)
+		g, err = f.Submit(context.Background(), Proposal{Statements: alter(1), Token: "mine"})
 		So(err, ShouldBeNil)
-		So(g, ShouldEqual, jujubegate.Generation(1))
-		So(a.Current().Generation(), ShouldEqual, g)
-		So(b.Load(ctx), ShouldBeNil)
-		So(b.Current(), ShouldResemble, a.Current())
-		So(b.Current().Serving("Desk", OldVersion, nil), ShouldHaveLength, 4)
+		So(g, ShouldEqual, jujubegate.Generation(64))
+		So(f.Current().Generation(), ShouldEqual, jujubegate.Generation(70))
+		Convey("an older writer does not replace the snapshot", func() {
+			old := newFollower(newFakeStore(1))
+			history(t, old, 3)
+			stored, err := source.log.WriteSnapshot(context.Background(), old.current.Load().snapshot())
+			So(err, ShouldBeNil)
+			So(stored, ShouldEqual, jujubegate.Generation(64))
+		})
 	})
 }
--- a/configurator/propose.go
+++ b/configurator/propose.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
+	"unicode/utf8"
 
 	"go.uber.org/zap"
 
@@ -23,6 +25,27 @@
 	DryRun bool
 }
 
+// maxAuthor is the largest number of bytes in the name of an author.
+const maxAuthor = 256
+
+// check returns findings about the parts other than the statements. Tokens
+// are part of snapshots, where they have the form of names.
+func (p Proposal) check() jujubegate.Findings {
+	at := jujubegate.Position{File: p.File, Line: 1, Column: 1}
+	var findings jujubegate.Findings
+	if p.Token != "" && !parser.ValidName(p.Token) {
+		findings = append(findings, jujubegate.Finding{
+			Position: at, Message: fmt.Sprintf("token %.100q is not a name of at most %d characters", p.Token, parser.MaxName),
+		})
+	}
+	if len(p.Author) > maxAuthor || !utf8.ValidString(p.Author) {
+		findings = append(findings, jujubegate.Finding{
+			Position: at, Message: fmt.Sprintf("author is not a text of at most %d bytes", maxAuthor),
+		})
+	}
+	return findings
+}
+
 // Propose is Submit with a new token.
 func (f *Follower) Propose(ctx context.Context, text, author string) (jujubegate.Generation, error) {
 	return f.Submit(ctx, Proposal{Statements: text, Author: author})
@@ -36,7 +59,7 @@
 // fewer than 256 changes came after it.
 func (f *Follower) Submit(ctx context.Context, p Proposal) (jujubegate.Generation, error) {
 	batch, findings := parser.Parse(p.File, p.Statements)
-	if len(findings) > 0 {
+	if findings = append(findings, p.check()...); len(findings) > 0 {
 		return 0, findings
 	}
 	batch = writes(batch)
@@ -52,7 +75,9 @@
 	case <-ctx.Done():
 		return 0, &UnavailableError{Cause: ctx.Err()}
 	}
-	if err := f.catchUp(ctx, f.Current().Generation()); err != nil {
+	applied, err := f.catchUp(ctx, f.Current().Generation())
+	f.announce(applied)
+	if err != nil {
 		return 0, &UnavailableError{Cause: err}
 	}
 	s := f.current.Load()
--- a/configurator/watch.go
+++ b/configurator/watch.go
@@ -49,7 +49,8 @@
 	f.announce(applied)
 	var gap *GapError
 	if errors.As(err, &gap) {
-		err = f.catchUp(ctx, f.Current().Generation())
+		applied, err = f.catchUp(ctx, f.Current().Generation())
+		f.announce(applied)
 	}
 	if err != nil {
 		return err
--- a/parser/literal.go
+++ b/parser/literal.go
@@ -48,6 +48,11 @@
 	return strconv.Quote(name)
 }
 
+// ValidName reports whether a text can be a name.
+func ValidName(text string) bool {
+	return utf8.RuneCountInString(text) <= MaxName && namePattern.MatchString(text)
+}
+
 // unquote returns the text of a string literal, or an identifier as it is.
 func unquote(text string) (string, string) {
 	if !strings.HasPrefix(text, `"`) {
@@ -67,7 +72,7 @@
 		return "", message
 	case utf8.RuneCountInString(value) > MaxName:
 		return "", fmt.Sprintf("name has more than %d characters", MaxName)
-	case !namePattern.MatchString(value):
+	case !ValidName(value):
 		return "", fmt.Sprintf("name %q must consist of letters, digits and _ . : + -", value)
 	}
 	return value, ""
