--- a/commander/command.go
+++ b/commander/command.go
@@ -72,7 +72,7 @@
 	p := flags.NewNamedParser("jujubectl", flags.HelpFlag|flags.PassDoubleDash)
 	p.SubcommandsOptional = true
 	c.add(p, &options)
-	_, err := p.ParseArgs(arguments)
+	rest, err := p.ParseArgs(arguments)
 	var usage *flags.Error
 	switch {
 	case errors.As(err, &usage) && usage.Type == flags.ErrHelp:
@@ -87,6 +87,9 @@
 	case options.Version:
 		c.printf("jujubectl %s\n", version())
 		return ExitDone
+	case p.Active == nil && len(rest) > 0:
+		c.warnf("jujubectl: there is no command %q\n", rest[0])
+		return ExitUsage
 	case p.Active == nil:
 		p.WriteHelp(c.Err)
 		return ExitUsage
