--- a/leaser/core.go
+++ b/leaser/core.go
@@ -8,7 +8,9 @@
 )
 
 // core is the decision core of the membership protocol. It does no I/O: each
-// input returns what to do. The safety argument is:
+// input returns what to do. Heartbeats are only recorded, and what follows from
+// them is decided at the next tick, so that a heartbeat costs little with 110
+// members. The safety argument is:
 //
 // An instance acts under view k only while its lease holds, and the lease
 // counts from the send time of heartbeats that a majority of the members of k
@@ -92,7 +94,8 @@
 	readView   bool
 	readList   bool
 	write      *viewWrite
-	adopted    bool
+	// adopted is set if a view came into force, and ticked after a tick.
+	adopted, ticked bool
 }
 
 // viewWrite is a conditional update of the view.
@@ -126,7 +129,7 @@
 	c.generation = generation
 	c.settle(now)
 	c.forget(now)
-	e := effects{}
+	e := effects{ticked: true}
 	if c.beatAt.IsZero() || now.Sub(c.beatAt) >= c.timing.Heartbeat {
 		c.beatAt = now
 		e.heartbeats = c.recipients(now)
@@ -243,8 +246,6 @@
 	if a.Epoch <= c.view.Epoch && from.After(p.leaseAt) {
 		p.leaseAt = from
 	}
-	c.settle(now)
-	c.plan(now, &e)
 	return e
 }
 
@@ -252,7 +253,6 @@
 func (c *core) request(now time.Time, r HeartbeatRequest) HeartbeatAnswer {
 	if r.Sender.ID() != c.self.ID() {
 		c.learn(now, r)
-		c.settle(now)
 	}
 	own := c.message(now)
 	a := HeartbeatAnswer{
@@ -375,6 +375,7 @@
 	}
 	was := c.view
 	c.view = v
+	c.beatAt = time.Time{} // acknowledge with the next tick
 	for _, m := range c.owners() {
 		p := c.peers[m.ID()]
 		if p == nil {
--- a/leaser/leaser.go
+++ b/leaser/leaser.go
@@ -89,21 +89,22 @@
 	}
 }
 
-// apply runs one input through the core, publishes the state and starts the
-// calls that the core asks for.
+// apply runs one input through the core and starts the calls that the core asks
+// for. The state is published at each tick and with each view; in between it may
+// lack heartbeats, which only makes it more careful.
 func (l *Leaser) apply(ctx context.Context, input func(c *core) effects) {
 	l.mu.Lock()
 	e := input(l.core)
-	s := l.publish()
-	request := l.core.message(l.o.Clock.Now())
+	if e.adopted || e.ticked {
+		l.publish()
+	}
+	var request HeartbeatRequest
+	if len(e.heartbeats) > 0 {
+		request = l.core.message(l.o.Clock.Now())
+	}
 	l.mu.Unlock()
 	if e.adopted {
-		l.o.Logger.Info("leaser: view in force", zap.Int64("epoch", int64(s.View.Epoch)),
-			zap.Int("members", len(s.View.Members)), zap.Int("open", len(s.Open)),
-			zap.Bool("member", s.View.Has(s.Self.ID())))
-		if l.o.OnView != nil {
-			l.o.OnView(s.View)
-		}
+		l.report()
 	}
 	for _, to := range e.heartbeats {
 		l.calls.Go(func() { l.heartbeat(ctx, to, request) })
@@ -119,10 +120,21 @@
 	}
 }
 
+// report logs the view in force and hands it to OnView.
+func (l *Leaser) report() {
+	s := l.State()
+	l.o.Logger.Info("leaser: view in force", zap.Int64("epoch", int64(s.View.Epoch)),
+		zap.Int("members", len(s.View.Members)), zap.Int("open", len(s.Open)),
+		zap.Bool("member", s.View.Has(s.Self.ID())))
+	if l.o.OnView != nil {
+		l.o.OnView(s.View)
+	}
+}
+
 // publish makes the state of the core visible to queries. The caller holds the
-// lock. An answer to a heartbeat is sent only after the state that it
-// reports is visible, so that an acknowledged epoch is one acted by.
-func (l *Leaser) publish() *State {
+// lock. A view is visible before any heartbeat acknowledges it, so that an
+// acknowledged epoch is one acted by.
+func (l *Leaser) publish() {
 	s := l.core.state()
 	l.state.Store(s)
 	close(l.wake)
@@ -131,7 +143,6 @@
 		l.holding = holds
 		l.o.Logger.Info("leaser: lease changed", zap.Bool("holds", holds), zap.Int64("epoch", int64(s.View.Epoch)))
 	}
-	return s
 }
 
 func (l *Leaser) heartbeat(ctx context.Context, to Member, r HeartbeatRequest) {
@@ -205,7 +216,6 @@
 func (l *Leaser) HandleHeartbeat(r HeartbeatRequest) HeartbeatAnswer {
 	l.mu.Lock()
 	a := l.core.request(l.o.Clock.Now(), r)
-	l.publish()
 	l.mu.Unlock()
 	l.notice(r.Sender, r.Generation)
 	return a
--- a/leaser/proposal.go
+++ b/leaser/proposal.go
@@ -30,9 +30,10 @@
 	}
 	changed := false
 	var members []Member
+	suspicions := c.suspicions(now)
 	for _, m := range c.view.Members {
 		switch {
-		case c.removable(m, now):
+		case c.removable(m, suspicions):
 			changed = true
 		case m.ID() == c.self.ID() && c.handingOver && !m.Leaving:
 			changed = true
@@ -88,27 +89,29 @@
 }
 
 // removable reports whether a member should be removed.
-func (c *core) removable(m Member, now time.Time) bool {
-	id := m.ID()
-	if id == c.self.ID() {
+func (c *core) removable(m Member, suspicions map[jujubegate.Instance]int) bool {
+	if m.ID() == c.self.ID() {
 		return c.departing
 	}
-	if c.ended[id] {
-		return true
-	}
-	count := 0
-	for _, o := range c.view.Members {
+	return c.ended[m.ID()] || suspicions[m.Instance] >= c.view.Majority()
+}
+
+// suspicions counts the live members that suspect each member.
+func (c *core) suspicions(now time.Time) map[jujubegate.Instance]int {
+	counts := map[jujubegate.Instance]int{}
+	for _, m := range c.view.Members {
+		var names []jujubegate.Instance
 		switch {
-		case o.ID() == id:
-		case o.ID() == c.self.ID():
-			if c.suspect(id, now) {
-				count++
-			}
-		case c.answers(o.ID(), now) && slices.Contains(c.peers[o.ID()].suspected, m.Instance):
-			count++
+		case m.ID() == c.self.ID():
+			names = c.suspects(now)
+		case c.answers(m.ID(), now):
+			names = c.peers[m.ID()].suspected
+		}
+		for _, name := range names {
+			counts[name]++
 		}
 	}
-	return count >= c.view.Majority()
+	return counts
 }
 
 // suspect reports whether a member has not answered within the suspicion time.
@@ -164,6 +167,10 @@
 	if c.proposalAt.IsZero() {
 		return false
 	}
+	if c.self.Leaving {
+		// Nobody else asks for its handover.
+		return now.Sub(c.proposalAt) >= c.timing.ProposalDelay
+	}
 	rank := 0
 	own := c.rankKey(c.self.ID())
 	for id := range c.peers {
--- a/leaser/query.go
+++ b/leaser/query.go
@@ -58,8 +58,12 @@
 	l.core.release(epoch)
 }
 
+// release records a release and has it sent with the next tick.
 func (c *core) release(epoch jujubegate.Epoch) {
-	c.released = max(c.released, min(epoch, c.view.Epoch))
+	if epoch = min(epoch, c.view.Epoch); epoch > c.released {
+		c.released = epoch
+		c.beatAt = time.Time{}
+	}
 }
 
 // Announce marks this instance as leaving in its heartbeats. It stays a member
