Test the dispatcher, notice restarts while connections are reopened

Cause: a restart of a target went unnoticed when the dialer opened a new connection before it had noticed the loss of the last old one; queued work stayed queued after an update that denied its target. Update refuses the queue of a denied target; Drain takes news of leaving from elsewhere; InFlightAt tells when a removed target can be released; a new target starts with the service time of its siblings. Service time counts from the first byte written. A target that works on a cancelled request for longer than the grace of 1 s can exceed it.

--- a/dialer/conn.go
+++ b/dialer/conn.go
@@ -31,6 +31,9 @@
 	// withholds the request.
 	permit  func() *jujubegate.Refusal
 	refused atomic.Pointer[jujubegate.Refusal]
+	// clock and written measure the time until the first byte was written.
+	clock   func() time.Duration
+	written atomic.Int64
 	// stale says that nothing was written because the connection was closed.
 	stale atomic.Bool
 	// received says that the target has sent at least one byte.
@@ -47,6 +50,7 @@
 		x.seal()
 		return errWithheld
 	}
+	x.written.Store(int64(x.clock()))
 	if !x.state.CompareAndSwap(exchangeNew, exchangeWritten) {
 		return errWithheld
 	}
@@ -94,6 +98,8 @@
 	closed  chan struct{}
 	// lost says that the target has closed the connection; guarded by the pool.
 	lost bool
+	// era is that of the pool's losses at the opening.
+	era int
 	// desynchronized is set after an answer to another request; no further
 	// request goes out on this connection.
 	desynchronized atomic.Bool
--- a/dialer/dialer.go
+++ b/dialer/dialer.go
@@ -44,6 +44,8 @@
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 	// Loaded receives each load report, or the error of reading it; nil ignores them.
 	Loaded func(Load, error)
+	// Broken is called when the target has closed a connection; nil ignores it.
+	Broken func()
 	// Restarted is called when the target has closed all connections; nil ignores it.
 	Restarted func()
 }
--- a/dialer/pool.go
+++ b/dialer/pool.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/samber/oops"
+
+	"jujubegate.example/jujubegate"
 )
 
 // ErrUnreachable is the error of a connection that could not be opened.
@@ -22,10 +24,10 @@
 	dial    func(ctx context.Context, network, address string) (net.Conn, error)
 	address string
 	grace   time.Duration
-	// restarted is called when the target has closed all connections.
-	restarted func()
-	// after waits for the next maintenance.
-	after func(time.Duration) <-chan time.Time
+	// broken is called when the target has closed a connection, restarted when
+	// it has closed all of them.
+	broken, restarted func()
+	clock             jujubegate.Clock
 
 	mu            sync.Mutex
 	bound, wanted int
@@ -35,14 +37,13 @@
 	closed      bool
 	// changed is closed and replaced when a connection ends or the bound grows.
 	changed chan struct{}
-	// broken is set when the target has closed a connection since the last maintenance.
-	broken bool
-	kick   chan struct{}
+	losses  losses
+	kick    chan struct{}
 }
 
 func newPool(s Settings, address string) *pool {
 	return &pool{
-		dial: s.Dial, address: address, grace: s.Grace, restarted: s.Restarted, after: s.Clock.After,
+		dial: s.Dial, address: address, grace: s.Grace, broken: s.Broken, restarted: s.Restarted, clock: s.Clock,
 		bound: min(2, s.Connections), changed: make(chan struct{}), kick: make(chan struct{}, 1),
 	}
 }
@@ -143,7 +144,9 @@
 		return nil, oops.Wrapf(errors.Join(ErrUnreachable, err), "connect to target %s", p.address)
 	}
 	p.alive++
-	return newConn(raw, p.grace, p.ended, p.lost), nil
+	c := newConn(raw, p.grace, p.ended, p.lost)
+	c.era = p.losses.era
+	return c, nil
 }
 
 // lost notes that the target has closed a connection.
@@ -155,7 +158,7 @@
 	}
 	c.lost = true
 	p.alive--
-	p.broken = true
+	p.losses.lost(c, p.alive, p.clock.Now())
 	p.wake()
 }
 
@@ -167,6 +170,7 @@
 	if !c.lost {
 		c.lost = true
 		p.alive--
+		p.losses.ended(c)
 	}
 	p.broadcast()
 	p.wake()
@@ -178,17 +182,21 @@
 	for {
 		p.sweep()
 		p.fill(ctx)
+		interval := PollInterval
+		if p.losing() {
+			interval = lossInterval
+		}
 		select {
 		case <-p.kick:
-		case <-p.after(PollInterval):
+		case <-p.clock.After(interval):
 		case <-ctx.Done():
 			return
 		}
 	}
 }
 
-// sweep drops closed spares and reports a restart when the target has closed
-// every connection.
+// sweep drops closed spares and reports the connections that the target has
+// closed.
 func (p *pool) sweep() {
 	p.mu.Lock()
 	var dead []*conn
@@ -207,8 +215,27 @@
 		p.drop(c)
 	}
 	p.mu.Lock()
-	restarted := p.broken && p.alive == 0
-	p.broken = false
+	broken, restarted := p.losses.take(p.clock.Now())
+	p.mu.Unlock()
+	if broken && p.broken != nil {
+		p.broken()
+	}
+	if restarted && p.restarted != nil {
+		p.restarted()
+	}
+}
+
+// losing reports whether a restart may be in progress.
+func (p *pool) losing() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.losses.active
+}
+
+// refused notes that a connection could not be opened.
+func (p *pool) refused() {
+	p.mu.Lock()
+	restarted := p.losses.unreachable()
 	p.mu.Unlock()
 	if restarted && p.restarted != nil {
 		p.restarted()
@@ -230,6 +257,7 @@
 		c, err := p.connect(dialing)
 		cancel()
 		if err != nil {
+			p.refused()
 			return
 		}
 		p.mu.Lock()
--- a/dialer/send.go
+++ b/dialer/send.go
@@ -32,7 +32,8 @@
 	Unreachable bool
 	// Replied says that the target sent a whole response, of whatever content.
 	Replied bool
-	// ServiceTime is the time from sending to the end.
+	// ServiceTime is the time from the first byte written, or from the call if
+	// none was, to the end.
 	ServiceTime time.Duration
 	// Closed is set if the target may still run the request. It is closed once
 	// the target's answer or close was seen, or the grace has passed.
@@ -69,7 +70,7 @@
 // the connection was closed.
 func (d *Dialer) attempt(ctx context.Context, r *Request) (result Result, stale bool) {
 	started := d.settings.Clock.Now()
-	x := &exchange{permit: r.Permit}
+	x := &exchange{permit: r.Permit, clock: func() time.Duration { return d.settings.Clock.Since(started) }}
 	var used *conn
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
 		used = info.Conn.(*conn)
@@ -82,7 +83,7 @@
 		}}, false
 	}
 	status, content, err := d.roundTrip(request)
-	result.ServiceTime = d.settings.Clock.Since(started)
+	result.ServiceTime = d.settings.Clock.Since(started) - time.Duration(x.written.Load())
 	if err != nil {
 		result.Refusal = failure(ctx, err, x)
 		result.Unreachable = errors.Is(err, ErrUnreachable)
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -46,7 +46,10 @@
 
 // Events are what a link tells about its target.
 type Events struct {
-	Loaded    func(dialer.Load, error)
+	Loaded func(dialer.Load, error)
+	// Broken is called when the target has closed a connection, Restarted when
+	// it has closed all of them.
+	Broken    func()
 	Restarted func()
 }
 
@@ -80,7 +83,8 @@
 	doing   sync.WaitGroup
 	closers sync.WaitGroup
 
-	runs runs
+	runs   runs
+	normal normalTimes
 
 	markMu sync.Mutex
 	mark   Mark
@@ -109,7 +113,8 @@
 
 func dialTarget(t jujubegate.Target, connections int, e Events, clock jujubegate.Clock) Link {
 	d := dialer.New(dialer.Settings{
-		Target: t, Connections: connections, Clock: clock, Loaded: e.Loaded, Restarted: e.Restarted,
+		Target: t, Connections: connections, Clock: clock, Loaded: e.Loaded,
+		Broken: e.Broken, Restarted: e.Restarted,
 	})
 	return Link{Send: d.Send, SetBound: d.SetBound, SetConnections: d.SetConnections, Close: d.Close}
 }
@@ -151,11 +156,13 @@
 		return
 	}
 	d.lanes[t.Address] = d.newLane(t, spec, now)
+	d.settings.Log.Info("dispatcher: target added", zap.String("Target", string(t.Address)))
 }
 
 // retire takes a target out. Its lane stays known until its last request has
 // ended, so that a target that comes back is never sent more than its limit.
 func (d *Dispatcher) retire(address jujubegate.Address, l *lane, now time.Time) {
+	d.settings.Log.Info("dispatcher: target removed", zap.String("Target", string(address)))
 	delete(d.lanes, address)
 	d.retired[address] = l
 	idle := l.retire(now)
@@ -172,6 +179,17 @@
 	})
 }
 
+// Drain stops new work to a target that leaves, for news from elsewhere than
+// the target itself.
+func (d *Dispatcher) Drain(address jujubegate.Address) {
+	d.mu.RLock()
+	l := d.lanes[address]
+	d.mu.RUnlock()
+	if l != nil {
+		l.drain()
+	}
+}
+
 // permit checks that the target may receive new work now.
 func (d *Dispatcher) permit(t jujubegate.Target, now time.Time) *jujubegate.Refusal {
 	if !d.settings.MaySend(t.Address, now) {
@@ -190,12 +208,28 @@
 
 // InFlight returns the number of requests that may still run at targets.
 func (d *Dispatcher) InFlight() int {
+	now := d.settings.Clock.Now()
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	n := 0
+	for _, l := range d.lanes {
+		n += l.inFlight(now)
+	}
+	for _, l := range d.retired {
+		n += l.inFlight(now)
+	}
+	return n
+}
+
+// InFlightAt returns the number of requests that may still run at one target,
+// also after the target was removed. At 0 a removed target can be released.
+func (d *Dispatcher) InFlightAt(address jujubegate.Address) int {
 	now := d.settings.Clock.Now()
 	d.mu.RLock()
 	defer d.mu.RUnlock()
 	n := 0
 	for _, all := range []map[jujubegate.Address]*lane{d.lanes, d.retired} {
-		for _, l := range all {
+		if l, ok := all[address]; ok {
 			n += l.inFlight(now)
 		}
 	}
--- a/dispatcher/dispatcher_test.go
+++ b/dispatcher/dispatcher_test.go
@@ -2,67 +2,295 @@
 
 import (
 	"context"
-	"encoding/json"
-	"net/http"
-	"net/http/httptest"
-	"strings"
 	"testing"
 	"time"
 
-	"github.com/jonboulle/clockwork"
 	. "github.com/smartystreets/goconvey/convey"
 	"go.uber.org/goleak"
 
 	"jujubegate.example/jujubegate"
 	"jujubegate.example/jujubegate/configurator"
+	"jujubegate.example/jujubegate/dialer"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
 
-var spec = configurator.ServiceSpec{Name: "Desk", Shards: 1, Slots: 2, Connections: 25, ColdLimit: 1}
+func TestPermissionIsCheckedBeforeEachSend(t *testing.T) {
+	// Guards against an owner that was paused, or a data centre that was taken
+	// out, between the decision and the send.
+	deny := []struct {
+		name   string
+		deny   func(*permission)
+		reason jujubegate.Reason
+	}{
+		{"lost ownership", func(p *permission) { p.owned.Store(false) }, jujubegate.NotOwner},
+		{"out of service", func(p *permission) { p.allowed.Store(false) }, jujubegate.OutOfService},
+	}
+	Convey("A target that may not receive work", t, func() {
+		for _, c := range deny {
+			s := newStub()
+			d, p := owner(s)
+			Convey(c.name+" before the batch", func() {
+				c.deny(p)
+				r := (<-do(d, context.Background(), batch("q", time.Second)))[0].Refusal
+				So(r.Reason, ShouldEqual, c.reason)
+				So(r.Outcome, ShouldEqual, jujubegate.NotRun)
+				So(s.sends.Load(), ShouldEqual, 0)
+			})
+			Convey(c.name+" while it waits", func() {
+				first := do(d, context.Background(), batch("q1", time.Second))
+				request := <-s.sent
+				second := do(d, context.Background(), batch("q2", time.Second))
+				awaitQueued(d)
+				c.deny(p)
+				request.answer <- good
+				So((<-first)[0].Refusal, ShouldBeNil)
+				So((<-second)[0].Refusal.Reason, ShouldEqual, c.reason)
+				So(s.sends.Load(), ShouldEqual, 1)
+			})
+			Convey(c.name+" at an update", func() {
+				first := do(d, context.Background(), batch("q1", time.Second))
+				request := <-s.sent
+				second := do(d, context.Background(), batch("q2", time.Second))
+				awaitQueued(d)
+				c.deny(p)
+				d.Update([]jujubegate.Target{{Address: address, Service: "Desk"}}, []configurator.ServiceSpec{spec})
+				So((<-second)[0].Refusal.Reason, ShouldEqual, c.reason)
+				request.answer <- good
+				<-first
+			})
+			Reset(func() { d.Close(context.Background()) })
+		}
+	})
+}
 
-func TestDoOverHTTP(t *testing.T) {
-	// Guards against a dispatcher and a dialer that do not fit together.
-	Convey("A batch against an HTTP target", t, func() {
-		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-			if r.URL.Path == "/load" {
-				_, _ = w.Write([]byte(`{"State":"Warm","Snapshots":[7]}`))
-				return
-			}
-			var m map[string]any
-			_ = json.NewDecoder(r.Body).Decode(&m)
-			_ = json.NewEncoder(w).Encode(map[string]any{
-				"RequestId": m["RequestId"], "Shard": m["Shard"], "Snapshot": m["Snapshot"],
-				"RangeStart": 0, "RangeEnd": 1 << 32, "Rows": []any{m["Body"]},
+func TestCancelAndDeadline(t *testing.T) {
+	// Guards against a cancelled order, a false outcome, and work that is kept
+	// beyond its deadline.
+	cases := []struct {
+		name  string
+		order bool
+		// queued has the sub-request wait behind another one.
+		queued   bool
+		deadline time.Duration
+		stop     func(d *Dispatcher, cancel func())
+		answer   bool
+		reason   jujubegate.Reason
+		outcome  jujubegate.Outcome
+	}{
+		{"cancelled, queued", false, true, time.Second, func(d *Dispatcher, _ func()) { d.Cancel("q", nil) }, false, jujubegate.Cancelled, jujubegate.NotRun},
+		{"cancelled, queued order", true, true, time.Second, func(d *Dispatcher, _ func()) { d.Cancel("q", nil) }, false, jujubegate.Cancelled, jujubegate.NotRun},
+		{"cancelled, running", false, false, time.Second, func(d *Dispatcher, _ func()) { d.Cancel("q", nil) }, false, jujubegate.Cancelled, jujubegate.Unknown},
+		{"cancelled by attempt", false, false, time.Second, func(d *Dispatcher, _ func()) {
+			d.Cancel("q", []jujubegate.SubRequest{{Target: address, Attempt: 1}})
+		}, false, jujubegate.Cancelled, jujubegate.Unknown},
+		{"cancelled, other attempt", false, false, time.Second, func(d *Dispatcher, _ func()) {
+			d.Cancel("q", []jujubegate.SubRequest{{Target: address, Attempt: 2}})
+		}, true, "", 0},
+		{"cancelled, other query", false, false, time.Second, func(d *Dispatcher, _ func()) { d.Cancel("p", nil) }, true, "", 0},
+		{"cancelled, running order", true, false, time.Second, func(d *Dispatcher, _ func()) { d.Cancel("q", nil) }, true, "", 0},
+		{"context ended, queued", false, true, time.Second, func(_ *Dispatcher, cancel func()) { cancel() }, false, jujubegate.Cancelled, jujubegate.NotRun},
+		{"context ended, running", false, false, time.Second, func(_ *Dispatcher, cancel func()) { cancel() }, false, jujubegate.Cancelled, jujubegate.Unknown},
+		{"context ended, running order", true, false, time.Second, func(_ *Dispatcher, cancel func()) { cancel() }, true, "", 0},
+		{"deadline, queued", false, true, 30 * time.Millisecond, nil, false, jujubegate.DeadlinePassed, jujubegate.NotRun},
+		{"deadline, running", false, false, 30 * time.Millisecond, nil, false, jujubegate.DeadlinePassed, jujubegate.Unknown},
+		{"deadline, running order, late answer", true, false, 30 * time.Millisecond, nil, true, "", 0},
+		{"deadline, running order, no answer", true, false, 30 * time.Millisecond, nil, false, jujubegate.DeadlinePassed, jujubegate.Unknown},
+	}
+	Convey("A sub-request", t, func() {
+		for _, c := range cases {
+			Convey(c.name, func() {
+				s := newStub()
+				d, _ := owner(s)
+				var ahead *stubRequest
+				var first <-chan []jujubegate.SubResult
+				if c.queued {
+					first = do(d, context.Background(), batch("ahead", time.Second))
+					ahead = <-s.sent
+				}
+				b := batch("q", c.deadline)
+				b.Order = c.order
+				ctx, cancel := context.WithCancel(context.Background())
+				defer cancel()
+				done := do(d, ctx, b)
+				var request *stubRequest
+				if c.queued {
+					awaitQueued(d)
+				} else {
+					request = <-s.sent
+				}
+				if c.stop != nil {
+					c.stop(d, cancel)
+				}
+				if c.answer {
+					time.Sleep(50 * time.Millisecond)
+					request.answer <- good
+				}
+				results := <-done
+				So(results, ShouldHaveLength, 1)
+				if c.reason == "" {
+					So(results[0].Refusal, ShouldBeNil)
+				} else {
+					So(results[0].Refusal.Reason, ShouldEqual, c.reason)
+					So(results[0].Refusal.Outcome, ShouldEqual, c.outcome)
+				}
+				if ahead != nil {
+					ahead.answer <- good
+					<-first
+				}
+				So(s.sends.Load(), ShouldEqual, 1)
+				d.Close(context.Background())
 			})
-		}))
-		defer server.Close()
-		address := jujubegate.Address(strings.TrimPrefix(server.URL, "http://"))
-		target := jujubegate.Target{Address: address, Service: "Desk", Shard: 0}
-		d := New(Settings{
-			MaySend: func(jujubegate.Address, time.Time) bool { return true },
-			Allowed: func(jujubegate.Target) bool { return true },
-			Clock:   clockwork.NewRealClock(),
+		}
+	})
+}
+
+func TestOwnershipChanges(t *testing.T) {
+	// Guards against interrupted requests, leaked connections, and a second
+	// set of requests at a target that comes back.
+	Convey("A target with a request in flight and one that waits is removed", t, func() {
+		s := newStub()
+		d, _ := owner(s)
+		first := do(d, context.Background(), batch("q1", time.Second))
+		request := <-s.sent
+		second := do(d, context.Background(), batch("q2", time.Second))
+		awaitQueued(d)
+		d.Update(nil, nil)
+		So((<-second)[0].Refusal.Reason, ShouldEqual, jujubegate.NotOwner)
+		So((<-do(d, context.Background(), batch("q3", time.Second)))[0].Refusal.Reason, ShouldEqual, jujubegate.NotOwner)
+		So(d.InFlight(), ShouldEqual, 1)
+		So(d.InFlightAt(address), ShouldEqual, 1)
+		So(s.closed.Load(), ShouldEqual, 0)
+		Convey("its request finishes and its connections close", func() {
+			request.answer <- good
+			So((<-first)[0].Refusal, ShouldBeNil)
+			for s.closed.Load() == 0 {
+				time.Sleep(time.Millisecond)
+			}
+			So(d.InFlight(), ShouldEqual, 0)
+		})
+		Convey("and added again, its request still counts", func() {
+			d.Update([]jujubegate.Target{{Address: address, Service: "Desk"}}, []configurator.ServiceSpec{spec})
+			report := d.Reports()[0]
+			So(report.State, ShouldEqual, jujubegate.Cold)
+			So(report.InFlight, ShouldEqual, report.Limit)
+			request.answer <- good
+			<-first
+			So(s.closed.Load(), ShouldEqual, 0)
+		})
+		d.Close(context.Background())
+		So(s.closed.Load(), ShouldEqual, 1)
+	})
+	Convey("An updated declaration", t, func() {
+		s := newStub()
+		d, _ := owner(s)
+		s.warm(d)
+		So(d.Reports()[0].Limit, ShouldEqual, 2)
+		same := jujubegate.Target{Address: address, Service: "Desk"}
+		Convey("keeps a warm target warm", func() {
+			d.Update([]jujubegate.Target{same}, []configurator.ServiceSpec{{Slots: 3, Name: "Desk", Connections: 9, ColdLimit: 1}})
+			So(d.Reports()[0].Limit, ShouldEqual, 3)
+			So(s.bounds.Load(), ShouldEqual, 9)
+		})
+		Convey("of another version starts cold", func() {
+			same.Version = "v2"
+			d.Update([]jujubegate.Target{same}, []configurator.ServiceSpec{spec})
+			So(d.Reports()[0].State, ShouldEqual, jujubegate.Cold)
+			So(s.bounds.Load(), ShouldEqual, 2)
 		})
-		d.Update([]jujubegate.Target{target}, []configurator.ServiceSpec{spec})
-		var results []jujubegate.SubResult
-		d.Do(context.Background(), jujubegate.Batch{
-			QueryID: "q", Service: "Desk", Route: "Search", Caller: "c", Snapshot: 7,
-			Deadline: time.Now().Add(time.Second), Body: []byte(`{"a":1}`),
-			SubRequests: []jujubegate.SubRequest{{Target: address, Attempt: 1}, {Target: "elsewhere:1", Attempt: 1}},
-		}, func(rs []jujubegate.SubResult) { results = append(results, rs...) })
-		So(results, ShouldHaveLength, 2)
-		for _, r := range results {
-			if r.Target == address {
-				So(r.Refusal, ShouldBeNil)
-				So(string(r.Rows), ShouldEqual, `[{"a":1}]`)
-				So(r.Snapshot, ShouldEqual, 7)
-			} else {
-				So(r.Refusal.Reason, ShouldEqual, jujubegate.NotOwner)
-				So(r.Refusal.Outcome, ShouldEqual, jujubegate.NotRun)
+		d.Close(context.Background())
+	})
+}
+
+func TestLeavingTarget(t *testing.T) {
+	// Guards against new work for a target that leaves.
+	cases := []struct {
+		name  string
+		leave func(d *Dispatcher, s *stub, running *stubRequest)
+	}{
+		{"by its own refusal", func(_ *Dispatcher, _ *stub, r *stubRequest) {
+			r.answer <- dialer.Result{Refusal: refused(jujubegate.TargetDraining, ""), Replied: true}
+		}},
+		{"by its load report", func(_ *Dispatcher, s *stub, r *stubRequest) {
+			s.events.Loaded(dialer.Load{State: jujubegate.Draining}, nil)
+			r.answer <- good
+		}},
+		{"by news from elsewhere", func(d *Dispatcher, _ *stub, r *stubRequest) {
+			d.Drain(address)
+			r.answer <- good
+		}},
+	}
+	Convey("A target that leaves", t, func() {
+		for _, c := range cases {
+			Convey(c.name, func() {
+				s := newStub()
+				d, _ := owner(s)
+				first := do(d, context.Background(), batch("q1", time.Second))
+				request := <-s.sent
+				second := do(d, context.Background(), batch("q2", time.Second))
+				awaitQueued(d)
+				c.leave(d, s, request)
+				<-first
+				So((<-second)[0].Refusal.Reason, ShouldEqual, jujubegate.TargetDraining)
+				So((<-do(d, context.Background(), batch("q3", time.Second)))[0].Refusal.Reason, ShouldEqual, jujubegate.TargetDraining)
+				So(d.Reports()[0].State, ShouldEqual, jujubegate.Draining)
+				So(s.sends.Load(), ShouldEqual, 1)
+				d.Close(context.Background())
+			})
+		}
+	})
+}
+
+func TestCloseWaitsForOrders(t *testing.T) {
+	// Guards against a planned stop that interrupts a request in flight.
+	Convey("Close", t, func() {
+		s := newStub()
+		d, _ := owner(s)
+		running := do(d, context.Background(), orderBatch("q", time.Second))
+		request := <-s.sent
+		ctx, cancel := context.WithCancel(context.Background())
+		cancel()
+		closed := make(chan struct{})
+		go func() {
+			d.Close(ctx)
+			close(closed)
+		}()
+		for {
+			r := (<-do(d, context.Background(), batch("late", 10*time.Millisecond)))[0].Refusal
+			if r.Reason == jujubegate.Leaving {
+				break
 			}
 		}
-		So(d.InFlight(), ShouldEqual, 0)
+		select {
+		case <-closed:
+			t.Error("closed with an order in flight")
+		case <-time.After(20 * time.Millisecond):
+		}
+		request.answer <- good
+		So((<-running)[0].Refusal, ShouldBeNil)
+		<-closed
+		So(s.closed.Load(), ShouldEqual, 1)
+	})
+}
+
+func TestReportsSinceMark(t *testing.T) {
+	// Guards against reports that are sent again without a change, or missed.
+	Convey("Reports since a mark", t, func() {
+		s := newStub()
+		d, _ := owner(s)
+		reports, mark := d.ReportsSince(0)
+		So(reports, ShouldHaveLength, 1)
+		So(reports[0].State, ShouldEqual, jujubegate.Cold)
+		reports, mark = d.ReportsSince(mark)
+		So(reports, ShouldBeEmpty)
+		s.warm(d)
+		reports, mark = d.ReportsSince(mark)
+		So(reports, ShouldHaveLength, 1)
+		So(reports[0].State, ShouldEqual, jujubegate.Warm)
+		So(reports[0].Snapshots, ShouldResemble, []jujubegate.Snapshot{7})
+		reports, _ = d.ReportsSince(mark)
+		So(reports, ShouldBeEmpty)
+		So(d.Reports(), ShouldHaveLength, 1)
 		d.Close(context.Background())
 	})
 }
--- a/dispatcher/lane.go
+++ b/dispatcher/lane.go
@@ -19,15 +19,15 @@
 	dispatcher *Dispatcher
 	link       Link
 
-	mu       sync.Mutex
-	target   jujubegate.Target
-	spec     configurator.ServiceSpec
-	limiter  *limiter.Limiter
-	queue    *scheduler.Queue[*task]
-	retired  bool
-	bound    int
-	wanted   int
-	snapshot []jujubegate.Snapshot
+	mu        sync.Mutex
+	target    jujubegate.Target
+	spec      configurator.ServiceSpec
+	limiter   *limiter.Limiter
+	queue     *scheduler.Queue[*task]
+	retired   bool
+	bound     int
+	wanted    int
+	snapshots []jujubegate.Snapshot
 	// idle is closed when a retired lane has no more requests in flight, which
 	// sets ended, or when it is revived.
 	idle  chan struct{}
@@ -41,12 +41,13 @@
 	l.limiter = limiter.New(bounds(spec), now)
 	l.limiter.Violation = d.settings.Violation
 	l.limiter.Changed = l.changed
+	l.limiter.Expect(d.normal.get(t.Service))
 	l.queue.Dropped = func(e scheduler.Entry[*task], reason jujubegate.Reason) {
 		e.Payload.end(refused(reason, "dropped from the queue"))
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.link = d.settings.Open(t, spec.Connections, Events{Loaded: l.loaded, Restarted: l.restarted})
+	l.link = d.settings.Open(t, spec.Connections, Events{Loaded: l.loaded, Broken: l.broken, Restarted: l.restarted})
 	l.adjust(now)
 	return l
 }
@@ -71,9 +72,20 @@
 	if replaced {
 		l.limiter.Restarted(now)
 	}
+	if r := l.dispatcher.permit(t, now); r != nil {
+		l.refuseQueue(r, now)
+	}
 	l.pump(now)
 }
 
+// refuseQueue refuses everything that waits.
+func (l *lane) refuseQueue(r *jujubegate.Refusal, now time.Time) {
+	l.queue.Clear(func(e scheduler.Entry[*task]) {
+		l.logPlacement(e.Payload, string(r.Reason), now)
+		e.Payload.end(r)
+	})
+}
+
 func (l *lane) declare(t jujubegate.Target, spec configurator.ServiceSpec) {
 	if spec.Connections != l.spec.Connections {
 		l.link.SetConnections(spec.Connections)
@@ -88,9 +100,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.retired = true
-	l.queue.Clear(func(e scheduler.Entry[*task]) {
-		e.Payload.end(refused(jujubegate.NotOwner, "this instance gave up the target"))
-	})
+	l.refuseQueue(refused(jujubegate.NotOwner, "this instance gave up the target"), now)
 	idle := make(chan struct{})
 	l.idle = idle
 	l.checkIdle(now)
@@ -140,8 +150,9 @@
 	defer l.mu.Unlock()
 	switch {
 	case err == nil:
-		l.snapshot = load.Snapshots
+		l.snapshots = load.Snapshots
 		l.limiter.Report(load.State, now)
+		l.shareNormal()
 	case errors.Is(err, dialer.ErrUnreachable):
 		l.limiter.Unreachable(now)
 	}
@@ -152,6 +163,34 @@
 	l.pump(now)
 }
 
+// shareNormal passes the service time of a warm target to others of its service.
+func (l *lane) shareNormal() {
+	normal := &l.dispatcher.normal
+	if known := l.limiter.NormalTime(); known > 0 {
+		normal.set(l.target.Service, known)
+	} else {
+		l.limiter.Expect(normal.get(l.target.Service))
+	}
+}
+
+// drain takes the news, from elsewhere than the target, that it leaves.
+func (l *lane) drain() {
+	now := l.dispatcher.settings.Clock.Now()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.limiter.Drain(now)
+	l.pump(now)
+}
+
+// broken takes the news that the target has closed a connection, which may be
+// the beginning of a restart.
+func (l *lane) broken() {
+	now := l.dispatcher.settings.Clock.Now()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.limiter.Suspect(now)
+}
+
 // restarted takes the news that the target has closed all connections.
 func (l *lane) restarted() {
 	now := l.dispatcher.settings.Clock.Now()
@@ -170,14 +209,15 @@
 			break
 		}
 		if r := l.dispatcher.permit(l.target, now); r != nil {
+			l.logPlacement(e.Payload, string(r.Reason), now)
 			e.Payload.end(r)
 			continue
 		}
 		l.start(e.Payload, now)
+		l.logPlacement(e.Payload, "Sent", now)
 	}
 	if l.queue.Len() > 0 && l.limiter.Limit(now) == 0 {
-		r := l.closedRefusal(now)
-		l.queue.Clear(func(e scheduler.Entry[*task]) { e.Payload.end(r) })
+		l.refuseQueue(l.closedRefusal(now), now)
 	}
 	l.adjust(now)
 	l.checkIdle(now)
@@ -188,7 +228,9 @@
 	if l.limiter.State(now) == jujubegate.Draining {
 		return refused(jujubegate.TargetDraining, "the target leaves")
 	}
-	return refused(jujubegate.TargetDown, "the target is ejected")
+	r := refused(jujubegate.TargetDown, "the target is ejected")
+	r.RetryAfter = l.limiter.RetryAfter(now)
+	return r
 }
 
 // adjust passes a changed connection bound to the link.
--- a/dispatcher/report.go
+++ b/dispatcher/report.go
@@ -59,7 +59,7 @@
 	defer l.mu.Unlock()
 	return jujubegate.TargetReport{
 		Target: l.target.Address, State: l.limiter.State(now), InFlight: l.limiter.InFlight(now),
-		Queued: l.queue.Len(), Limit: l.limiter.Limit(now), Latency: l.limiter.Latency(), Snapshots: l.snapshot,
+		Queued: l.queue.Len(), Limit: l.limiter.Limit(now), Latency: l.limiter.Latency(), Snapshots: l.snapshots,
 	}
 }
 
--- a/dispatcher/run.go
+++ b/dispatcher/run.go
@@ -104,7 +104,7 @@
 // collect delivers the results as they arrive and ends what is late.
 func (d *Dispatcher) collect(ctx context.Context, r *run, deliver func([]jujubegate.SubResult)) {
 	clock := d.settings.Clock
-	deadline := clock.After(before(r.batch.Deadline, clock.Now()))
+	deadline := clock.After(max(r.batch.Deadline.Sub(clock.Now()), 0))
 	cancelled := ctx.Done()
 	passed := false
 	for {
--- a/dispatcher/task.go
+++ b/dispatcher/task.go
@@ -49,7 +49,11 @@
 func (l *lane) place(t *task, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	decision := l.decide(t, now)
+	l.logPlacement(t, l.decide(t, now), now)
+}
+
+// logPlacement logs a placement decision at debug level.
+func (l *lane) logPlacement(t *task, decision string, now time.Time) {
 	if log := l.dispatcher.settings.Log; log.Core().Enabled(zap.DebugLevel) {
 		log.Debug("dispatcher: placed", zap.String("Query", t.run.batch.QueryID), zap.Int("Shard", t.sub.Shard),
 			zap.String("Target", string(t.sub.Target)), zap.String("Decision", decision),
@@ -229,6 +233,3 @@
 		}
 	}
 }
-
-// before returns the wait until a time, at least 0.
-func before(at, now time.Time) time.Duration { return max(at.Sub(now), 0) }
--- a/limiter/limiter.go
+++ b/limiter/limiter.go
@@ -79,6 +79,15 @@
 	return l.ramp.limit()
 }
 
+// RetryAfter returns how long no request can start because the target is
+// ejected; 0 if it is not.
+func (l *Limiter) RetryAfter(now time.Time) time.Duration {
+	if !l.ejection.active {
+		return 0
+	}
+	return max(l.ejection.until.Sub(now), 0)
+}
+
 // InFlight returns the number of requests that may still run at the target,
 // including abandoned ones within their grace.
 func (l *Limiter) InFlight(now time.Time) int {
@@ -158,6 +167,12 @@
 	l.settle(now)
 }
 
+// Suspect holds the target at its cold limit until a normal answer, for a sign
+// that is too weak for a cold start: it has closed a connection.
+func (l *Limiter) Suspect(now time.Time) {
+	l.ramp.signs, l.ramp.signed = max(l.ramp.signs, 1), now
+}
+
 // Unreachable records that a connection for a load report could not be opened.
 func (l *Limiter) Unreachable(now time.Time) {
 	l.drain.restarted()
--- a/limiter/limiter_test.go
+++ b/limiter/limiter_test.go
@@ -82,6 +82,10 @@
 			d.warm().one(Answered, slowTime)
 			d.one(Answered, warmTime)
 		}, 4, jujubegate.Warm},
+		{"a closed connection clamps", func(d *driver) {
+			d.warm().Suspect(d.now)
+			d.Suspect(d.now)
+		}, 1, jujubegate.Warm},
 		{"two slow answers are cold", func(d *driver) { d.warm().many(2, Answered, slowTime) }, 1, jujubegate.Cold},
 		{"shed is cold", func(d *driver) { d.warm().one(Shed, time.Millisecond) }, 1, jujubegate.Cold},
 		{"broken is cold", func(d *driver) { d.warm().one(Broken, time.Millisecond) }, 1, jujubegate.Cold},
