--- a/dialer/dialer.go
+++ b/dialer/dialer.go
@@ -6,6 +6,7 @@
 	"context"
 	"net"
 	"net/http"
+	"net/url"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -55,8 +56,11 @@
 	settings  Settings
 	pool      *pool
 	transport atomic.Pointer[http.Transport]
-	stop      context.CancelFunc
-	running   sync.WaitGroup
+	// queryURL and orderURL are read-only.
+	queryURL, orderURL, loadURL url.URL
+
+	stop    context.CancelFunc
+	running sync.WaitGroup
 }
 
 // New returns a dialer that opens connections ahead of need and polls the
@@ -71,7 +75,11 @@
 	}
 	ctx, stop := context.WithCancel(context.Background())
 	d := &Dialer{settings: settings, stop: stop}
-	d.pool = newPool(settings, string(settings.Target.Address))
+	address := string(settings.Target.Address)
+	d.queryURL = url.URL{Scheme: "http", Host: address, Path: "/query"}
+	d.orderURL = url.URL{Scheme: "http", Host: address, Path: "/order"}
+	d.loadURL = url.URL{Scheme: "http", Host: address, Path: "/load"}
+	d.pool = newPool(settings, address)
 	d.transport.Store(d.newTransport(settings.Connections))
 	d.running.Go(func() { d.pool.maintain(ctx) })
 	d.running.Go(func() { d.poll(ctx) })
--- a/dialer/load.go
+++ b/dialer/load.go
@@ -40,7 +40,7 @@
 	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
 	defer cancel()
 	wrap := oops.With("target", string(d.settings.Target.Address))
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, d.url("/load"), nil)
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, d.loadURL.String(), nil)
 	if err != nil {
 		return Load{}, wrap.Wrapf(err, "make the request for the load report")
 	}
--- a/dialer/send.go
+++ b/dialer/send.go
@@ -40,12 +40,6 @@
 	Closed <-chan struct{}
 }
 
-// requestBody hides the reader's type from net/http, which otherwise sets
-// GetBody and may then send a request again on another connection.
-type requestBody struct{ io.Reader }
-
-func (requestBody) Close() error { return nil }
-
 // Send sends a request and waits for its end. It is written at most once;
 // a connection that turns out to be closed before the first byte is replaced.
 // Cancelling the context closes the connection, which cancels the request at
@@ -76,12 +70,7 @@
 		used = info.Conn.(*conn)
 		used.current.Store(x)
 	}})
-	request, err := d.newRequest(ctx, r, started)
-	if err != nil {
-		return Result{Refusal: &jujubegate.Refusal{
-			Reason: jujubegate.BadRequest, Outcome: jujubegate.NotRun, Detail: err.Error(),
-		}}, false
-	}
+	request := d.newRequest(ctx, r, started)
 	status, content, err := d.roundTrip(request)
 	result.ServiceTime = d.settings.Clock.Since(started) - time.Duration(x.written.Load())
 	if err != nil {
@@ -102,25 +91,24 @@
 	return result, false
 }
 
-func (d *Dialer) newRequest(ctx context.Context, r *Request, now time.Time) (*http.Request, error) {
-	path := "/query"
+// newRequest returns the HTTP request. Without GetBody net/http cannot send it
+// again on another connection; a body in memory is written with the header.
+func (d *Dialer) newRequest(ctx context.Context, r *Request, now time.Time) *http.Request {
+	to := &d.queryURL
 	if r.Order {
-		path = "/order"
+		to = &d.orderURL
 	}
 	body := r.encode(now)
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, d.url(path), requestBody{bytes.NewReader(body)})
-	if err != nil {
-		return nil, err
+	request := &http.Request{
+		Method: http.MethodPost, URL: to, Host: to.Host, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
+		Header: http.Header{"Content-Type": jsonContent}, ContentLength: int64(len(body)),
+		Body: io.NopCloser(bytes.NewReader(body)),
 	}
-	request.ContentLength = int64(len(body))
-	request.Header["Content-Type"] = jsonContent
-	return request, nil
+	return request.WithContext(ctx)
 }
 
 var jsonContent = []string{"application/json"}
 
-func (d *Dialer) url(path string) string { return "http://" + string(d.settings.Target.Address) + path }
-
 // errTooLarge is the error of an answer above the bound.
 var errTooLarge = fmt.Errorf("the answer exceeds %d bytes", maxAnswer)
 
