Never close the connection of a running order at its deadline

Cause: an order without an answer one second after its deadline was ended by closing its connection, which cancels it at the target. Change: at that time the outcome is delivered as unknown, while the order keeps its connection and its slot until it ends, for 10 s at most. Conclusion: a running order is cancelled by nothing within its bound.

--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -21,6 +21,10 @@
 	// orderGrace is how long after its deadline an order's answer is awaited,
 	// since a late answer is worth more than an unknown outcome.
 	orderGrace = time.Second
+	// orderLimit is how long after that the connection of an order stays open,
+	// since its close would cancel the order at the target. It bounds what a
+	// target that hangs can hold.
+	orderLimit = 10 * time.Second
 )
 
 // Names of the counters.
--- a/dispatcher/dispatcher_test.go
+++ b/dispatcher/dispatcher_test.go
@@ -7,6 +7,8 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 	"go.uber.org/goleak"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 
 	"jujubegate.example/jujubegate"
 	"jujubegate.example/jujubegate/configurator"
@@ -134,6 +136,15 @@
 					So(results[0].Refusal.Reason, ShouldEqual, c.reason)
 					So(results[0].Refusal.Outcome, ShouldEqual, c.outcome)
 				}
+				if request != nil && c.order {
+					So(context.Cause(request.ctx), ShouldNotEqual, dialer.ErrDeadline)
+				}
+				if request != nil && c.order && !c.answer {
+					// Given up, but neither cancelled nor forgotten.
+					So(request.ctx.Err(), ShouldBeNil)
+					So(d.InFlight(), ShouldEqual, 1)
+					request.answer <- good
+				}
 				if ahead != nil {
 					ahead.answer <- good
 					<-first
@@ -273,6 +284,42 @@
 	})
 }
 
+func TestNewTargetLearnsFromItsService(t *testing.T) {
+	// Guards against a new target whose slow cold answers are taken for normal.
+	Convey("A target that is added later", t, func() {
+		s, later := newStub(), newStub()
+		d, _ := owner(s)
+		s.warm(d)
+		s.events.Loaded(dialer.Load{State: jujubegate.Warm}, nil)
+		d.settings.Open = later.open
+		added := jujubegate.Target{Address: "b:1", Service: "Desk", Shard: 1}
+		d.Update([]jujubegate.Target{{Address: address, Service: "Desk"}, added}, []configurator.ServiceSpec{spec})
+		So(d.lanes["b:1"].limiter.NormalTime(), ShouldEqual, d.lanes[address].limiter.NormalTime())
+		So(d.lanes["b:1"].limiter.NormalTime(), ShouldBeGreaterThan, 0)
+		So(d.Reports()[1].State, ShouldEqual, jujubegate.Cold)
+		d.Close(context.Background())
+	})
+}
+
+func TestLogLines(t *testing.T) {
+	// Guards against decisions and changes of state that leave no trace.
+	Convey("The dispatcher logs", t, func() {
+		core, lines := observer.New(zap.DebugLevel)
+		s := newStub()
+		d, _ := owner(s)
+		d.settings.Log = zap.New(core)
+		s.warm(d)
+		s.events.Restarted()
+		d.Close(context.Background())
+		So(lines.FilterMessage("dispatcher: placed").FilterLevelExact(zap.DebugLevel).Len(), ShouldBeGreaterThan, 0)
+		changes := lines.FilterMessage("dispatcher: target changed").FilterLevelExact(zap.InfoLevel).All()
+		So(changes, ShouldHaveLength, 2)
+		So(changes[0].ContextMap()["To"], ShouldEqual, "Warm")
+		So(changes[1].ContextMap()["To"], ShouldEqual, "Cold")
+		So(changes[1].ContextMap()["Why"], ShouldEqual, "restarted")
+	})
+}
+
 func TestReportsSinceMark(t *testing.T) {
 	// Guards against reports that are sent again without a change, or missed.
 	Convey("Reports since a mark", t, func() {
--- a/dispatcher/run.go
+++ b/dispatcher/run.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"sync"
+	"time"
 
 	"jujubegate.example/jujubegate"
 	"jujubegate.example/jujubegate/dialer"
@@ -49,9 +50,9 @@
 	return results, r.left == 0
 }
 
-func (r *run) withdraw(reason jujubegate.Reason, cause error, orders bool) {
+func (r *run) withdraw(reason jujubegate.Reason, cause error) {
 	for i := range r.tasks {
-		r.tasks[i].withdraw(reason, cause, orders)
+		r.tasks[i].withdraw(reason, cause)
 	}
 }
 
@@ -105,8 +106,8 @@
 func (d *Dispatcher) collect(ctx context.Context, r *run, deliver func([]jujubegate.SubResult)) {
 	clock := d.settings.Clock
 	deadline := clock.After(max(r.batch.Deadline.Sub(clock.Now()), 0))
+	var orderEnd <-chan time.Time
 	cancelled := ctx.Done()
-	passed := false
 	for {
 		select {
 		case <-r.arrived:
@@ -123,14 +124,18 @@
 				return
 			}
 		case <-deadline:
-			r.withdraw(jujubegate.DeadlinePassed, dialer.ErrDeadline, passed)
+			r.withdraw(jujubegate.DeadlinePassed, dialer.ErrDeadline)
 			deadline = nil
-			if r.batch.Order && !passed {
-				passed = true
-				deadline = clock.After(orderGrace)
+			if r.batch.Order {
+				orderEnd = clock.After(orderGrace)
+			}
+		case <-orderEnd:
+			orderEnd = nil
+			for i := range r.tasks {
+				r.tasks[i].giveUp()
 			}
 		case <-cancelled:
-			r.withdraw(jujubegate.Cancelled, errCancelled, false)
+			r.withdraw(jujubegate.Cancelled, errCancelled)
 			cancelled = nil
 		}
 	}
@@ -175,13 +180,13 @@
 func (d *Dispatcher) Cancel(queryID string, subRequests []jujubegate.SubRequest) {
 	for _, r := range d.runs.find(queryID) {
 		if len(subRequests) == 0 {
-			r.withdraw(jujubegate.Cancelled, errCancelled, false)
+			r.withdraw(jujubegate.Cancelled, errCancelled)
 			continue
 		}
 		for i := range r.tasks {
 			for _, sub := range subRequests {
 				if r.tasks[i].sub == sub {
-					r.tasks[i].withdraw(jujubegate.Cancelled, errCancelled, false)
+					r.tasks[i].withdraw(jujubegate.Cancelled, errCancelled)
 				}
 			}
 		}
@@ -243,6 +248,6 @@
 	}
 	s.mu.Unlock()
 	for _, r := range all {
-		r.withdraw(jujubegate.Cancelled, errCancelled, false)
+		r.withdraw(jujubegate.Cancelled, errCancelled)
 	}
 }
--- a/dispatcher/task.go
+++ b/dispatcher/task.go
@@ -30,8 +30,11 @@
 	state  taskState
 	queued scheduler.Ticket
 	ticket limiter.Ticket
-	// cancel ends a running request with a cause.
+	// ctx is that of the running request; cancel ends it with a cause.
+	ctx    context.Context
 	cancel context.CancelCauseFunc
+	// given says that the result of a running order was delivered as unknown.
+	given bool
 }
 
 // end delivers a refusal of a task that does not run.
@@ -102,10 +105,9 @@
 		t.end(refused(jujubegate.Overloaded, "no slot is free"))
 		return
 	}
-	var ctx context.Context
-	ctx, t.cancel = context.WithCancelCause(context.Background())
+	t.ctx, t.cancel = context.WithCancelCause(context.Background())
 	t.state, t.ticket = taskRunning, ticket
-	go t.send(ctx)
+	go t.send(t.ctx)
 }
 
 // send makes the one attempt of a task and draws the conclusions.
@@ -129,7 +131,11 @@
 	t.state = taskDone
 	l.conclude(t, result, now)
 	l.pump(now)
+	given := t.given
 	l.mu.Unlock()
+	if given {
+		return
+	}
 	t.run.deliver(jujubegate.SubResult{
 		Shard: t.sub.Shard, Attempt: t.sub.Attempt, Target: t.sub.Target, Refusal: result.Refusal,
 		Snapshot: result.Answer.Snapshot, Range: result.Answer.Range, Rows: result.Answer.Rows,
@@ -213,7 +219,7 @@
 
 // withdraw cancels a task: a queued one is refused, a running idempotent one
 // is closed, a running order goes on.
-func (t *task) withdraw(reason jujubegate.Reason, cause error, orders bool) {
+func (t *task) withdraw(reason jujubegate.Reason, cause error) {
 	l := t.lane
 	if l == nil {
 		return
@@ -228,8 +234,38 @@
 			t.end(refused(reason, cause.Error()))
 		}
 	case taskRunning:
-		if !t.run.batch.Order || orders {
+		if !t.run.batch.Order {
 			t.cancel(cause)
 		}
 	}
 }
+
+// giveUp delivers the unknown outcome of a running order. The order goes on at
+// the target and keeps its slot; its connection is closed after orderLimit.
+func (t *task) giveUp() {
+	l := t.lane
+	if l == nil {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if t.state != taskRunning || t.given {
+		return
+	}
+	t.given = true
+	t.run.deliver(jujubegate.SubResult{
+		Shard: t.sub.Shard, Attempt: t.sub.Attempt, Target: t.sub.Target,
+		Refusal: &jujubegate.Refusal{
+			Reason: jujubegate.DeadlinePassed, Outcome: jujubegate.Unknown, Detail: "the order has not been answered",
+		},
+	})
+	ctx, cancel := t.ctx, t.cancel
+	limit := l.dispatcher.settings.Clock.After(orderLimit)
+	go func() {
+		select {
+		case <-limit:
+			cancel(dialer.ErrDeadline)
+		case <-ctx.Done():
+		}
+	}()
+}
