--- a/dialer/send.go
+++ b/dialer/send.go
@@ -205,8 +205,15 @@
 	if m.Shard == nil || *m.Shard != r.Shard {
 		return Answer{}, badAnswer("the answer is not from shard %d", r.Shard)
 	}
+	rows := []byte(m.Rows)
+	switch {
+	case len(rows) == 0 || string(rows) == "null":
+		rows = []byte("[]")
+	case rows[0] != '[':
+		return Answer{}, badAnswer("the rows are not an array")
+	}
 	keys := jujubegate.KeyRange{Start: m.RangeStart, End: m.RangeEnd}
-	return Answer{Snapshot: m.Snapshot, Range: keys, Rows: m.Rows}, nil
+	return Answer{Snapshot: m.Snapshot, Range: keys, Rows: rows}, nil
 }
 
 // decodeRefusal maps a typed refusal. Without a clear "Ran":false the outcome
--- a/dialer/send_test.go
+++ b/dialer/send_test.go
@@ -77,6 +77,7 @@
 		{"other request", reply(200, strings.Replace(goodAnswer, "r-1", "r-2", 1)), jujubegate.BadAnswer, jujubegate.Unknown},
 		{"other shard", reply(200, strings.Replace(goodAnswer, `"Shard":3`, `"Shard":4`, 1)), jujubegate.BadAnswer, jujubegate.Unknown},
 		{"no shard", reply(200, `{"RequestId":"r-1"}`), jujubegate.BadAnswer, jujubegate.Unknown},
+		{"rows that are no array", reply(200, `{"RequestId":"r-1","Shard":3,"Rows":{}}`), jujubegate.BadAnswer, jujubegate.Unknown},
 		{"no JSON", reply(200, `rows`), jujubegate.BadAnswer, jujubegate.Unknown},
 		{"too large", reply(200, big), jujubegate.BadAnswer, jujubegate.Unknown},
 		{"too large, declared", func(w http.ResponseWriter, _ *http.Request) {
--- a/dispatcher/lane.go
+++ b/dispatcher/lane.go
@@ -43,6 +43,7 @@
 	l.limiter.Changed = l.changed
 	l.limiter.Expect(d.normal.get(t.Service))
 	l.queue.Dropped = func(e scheduler.Entry[*task], reason jujubegate.Reason) {
+		l.logPlacement(e.Payload, string(reason), l.dispatcher.settings.Clock.Now())
 		e.Payload.end(refused(reason, "dropped from the queue"))
 	}
 	l.mu.Lock()
@@ -118,7 +119,7 @@
 	close(l.idle)
 	l.idle = nil
 	l.declare(t, spec)
-	l.limiter.Restarted(now)
+	l.limiter.Reset(now)
 	l.adjust(now)
 	return true
 }
--- a/limiter/limiter.go
+++ b/limiter/limiter.go
@@ -167,6 +167,13 @@
 	l.settle(now)
 }
 
+// Reset starts the target cold, for an owner that takes it back. What is known
+// about its leaving and its failures stays.
+func (l *Limiter) Reset(now time.Time) {
+	l.ramp.turnCold(now, "new to this owner")
+	l.settle(now)
+}
+
 // Suspect holds the target at its cold limit until a normal answer, for a sign
 // that is too weak for a cold start: it has closed a connection.
 func (l *Limiter) Suspect(now time.Time) {
