--- a/dialer/send.go
+++ b/dialer/send.go
@@ -32,19 +32,14 @@
 	Unreachable bool
 	// Replied says that the target sent a whole response, of whatever content.
 	Replied bool
-	// ServiceTime is the time from sending to the end.
+	// ServiceTime is the time from the first byte written, or from the call if
+	// none was, to the end.
 	ServiceTime time.Duration
 	// Closed is set if the target may still run the request. It is closed once
 	// the target's answer or close was seen, or the grace has passed.
 	Closed <-chan struct{}
 }
 
-// requestBody hides the reader's type from net/http, which otherwise sets
-// GetBody and may then send a request again on another connection.
-type requestBody struct{ io.Reader }
-
-func (requestBody) Close() error { return nil }
-
 // Send sends a request and waits for its end. It is written at most once;
 // a connection that turns out to be closed before the first byte is replaced.
 // Cancelling the context closes the connection, which cancels the request at
@@ -69,20 +64,15 @@
 // the connection was closed.
 func (d *Dialer) attempt(ctx context.Context, r *Request) (result Result, stale bool) {
 	started := d.settings.Clock.Now()
-	x := &exchange{permit: r.Permit}
+	x := &exchange{permit: r.Permit, clock: func() time.Duration { return d.settings.Clock.Since(started) }}
 	var used *conn
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
 		used = info.Conn.(*conn)
 		used.current.Store(x)
 	}})
-	request, err := d.newRequest(ctx, r, started)
-	if err != nil {
-		return Result{Refusal: &jujubegate.Refusal{
-			Reason: jujubegate.BadRequest, Outcome: jujubegate.NotRun, Detail: err.Error(),
-		}}, false
-	}
+	request := d.newRequest(ctx, r, started)
 	status, content, err := d.roundTrip(request)
-	result.ServiceTime = d.settings.Clock.Since(started)
+	result.ServiceTime = d.settings.Clock.Since(started) - time.Duration(x.written.Load())
 	if err != nil {
 		result.Refusal = failure(ctx, err, x)
 		result.Unreachable = errors.Is(err, ErrUnreachable)
@@ -101,25 +91,24 @@
 	return result, false
 }
 
-func (d *Dialer) newRequest(ctx context.Context, r *Request, now time.Time) (*http.Request, error) {
-	path := "/query"
+// newRequest returns the HTTP request. Without GetBody net/http cannot send it
+// again on another connection; a body in memory is written with the header.
+func (d *Dialer) newRequest(ctx context.Context, r *Request, now time.Time) *http.Request {
+	to := &d.queryURL
 	if r.Order {
-		path = "/order"
+		to = &d.orderURL
 	}
 	body := r.encode(now)
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, d.url(path), requestBody{bytes.NewReader(body)})
-	if err != nil {
-		return nil, err
+	request := &http.Request{
+		Method: http.MethodPost, URL: to, Host: to.Host, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
+		Header: http.Header{"Content-Type": jsonContent}, ContentLength: int64(len(body)),
+		Body: io.NopCloser(bytes.NewReader(body)),
 	}
-	request.ContentLength = int64(len(body))
-	request.Header["Content-Type"] = jsonContent
-	return request, nil
+	return request.WithContext(ctx)
 }
 
 var jsonContent = []string{"application/json"}
 
-func (d *Dialer) url(path string) string { return "http://" + string(d.settings.Target.Address) + path }
-
 // errTooLarge is the error of an answer above the bound.
 var errTooLarge = fmt.Errorf("the answer exceeds %d bytes", maxAnswer)
 
@@ -216,8 +205,15 @@
 	if m.Shard == nil || *m.Shard != r.Shard {
 		return Answer{}, badAnswer("the answer is not from shard %d", r.Shard)
 	}
+	rows := []byte(m.Rows)
+	switch {
+	case len(rows) == 0 || string(rows) == "null":
+		rows = []byte("[]")
+	case rows[0] != '[':
+		return Answer{}, badAnswer("the rows are not an array")
+	}
 	keys := jujubegate.KeyRange{Start: m.RangeStart, End: m.RangeEnd}
-	return Answer{Snapshot: m.Snapshot, Range: keys, Rows: m.Rows}, nil
+	return Answer{Snapshot: m.Snapshot, Range: keys, Rows: rows}, nil
 }
 
 // decodeRefusal maps a typed refusal. Without a clear "Ran":false the outcome
--- a/limiter/limiter_test.go
+++ b/limiter/limiter_test.go
@@ -84,6 +84,10 @@
 		}, 4, jujubegate.Warm},
 		{"three slow answers clamp", func(d *driver) { d.warm().many(3, Answered, slowTime) }, 1, jujubegate.Warm},
 		{"four slow answers are cold", func(d *driver) { d.warm().many(4, Answered, slowTime) }, 1, jujubegate.Cold},
+		{"a closed connection clamps", func(d *driver) {
+			d.warm().Suspect(d.now)
+			d.Suspect(d.now)
+		}, 1, jujubegate.Warm},
 		{"shed is cold", func(d *driver) { d.warm().one(Shed, time.Millisecond) }, 1, jujubegate.Cold},
 		{"broken is cold", func(d *driver) { d.warm().one(Broken, time.Millisecond) }, 1, jujubegate.Cold},
 		{"restart is cold", func(d *driver) { d.warm().Restarted(d.now) }, 1, jujubegate.Cold},
