Follow moves within a query, and avoid leaving targets for a second

Change: new attempts go only to versions that serve some queries in the configuration in force, whose generation the batch names; draining, foreign and out-of-service targets are avoided for 1 s while another replica is available. Random fleets move versions. Measured: go test -race ./querier ./balancer pass; 100,000 random queries pass in 7 s.

--- a/balancer/balancer_test.go
+++ b/balancer/balancer_test.go
@@ -110,6 +110,12 @@
 			a.Replica.Done(start, Refused, ms)
 			return []Option{a, warm(8, 2, ms)}
 		}, 0, map[int]int{1: 1000}, nil},
+		{"excluded half a second ago", func() []Option {
+			a := warm(0, 2, ms)
+			a.Replica.Begin()
+			a.Replica.Done(start.Add(-500*ms), Excluded, ms)
+			return []Option{a, warm(8, 2, ms)}
+		}, 0, map[int]int{1: 1000}, nil},
 		{"failures in a row", func() []Option {
 			a := warm(0, 2, ms)
 			fail(&a, failuresToEject, start)
@@ -286,7 +292,7 @@
 			for range 2000 {
 				r := b.Replica(jujubegate.Address(fmt.Sprint(random.IntN(3))))
 				r.Begin()
-				r.Done(start, End(random.IntN(5)), time.Duration(random.IntN(1000)))
+				r.Done(start, End(random.IntN(6)), time.Duration(random.IntN(1000)))
 			}
 		})
 	}
--- a/balancer/replica.go
+++ b/balancer/replica.go
@@ -59,6 +59,9 @@
 	Failed
 	// Refused sub-requests found no capacity.
 	Refused
+	// Excluded sub-requests went to a target that must not serve any more,
+	// which the next report will say.
+	Excluded
 	// Abandoned sub-requests were cancelled; they tell nothing about the target
 	// but their age.
 	Abandoned
@@ -79,6 +82,9 @@
 	// refusalPause is how long a target that lacked capacity is avoided while
 	// another replica is available.
 	refusalPause = 50 * time.Millisecond
+	// exclusionPause is how long a target that is leaving or has another owner
+	// is avoided likewise: two periods of the owners' reports.
+	exclusionPause = time.Second
 )
 
 // Begin notes that a sub-request is sent.
@@ -95,6 +101,8 @@
 		r.fail(now)
 	case Refused:
 		r.refusedUntil.Store(now.Add(refusalPause).UnixNano())
+	case Excluded:
+		r.refusedUntil.Store(now.Add(exclusionPause).UnixNano())
 	case Abandoned, Overtaken:
 		// A cancelled straggler took at least this long.
 		if took > r.Latency() {
--- a/querier/choose.go
+++ b/querier/choose.go
@@ -57,7 +57,7 @@
 		k := &r.known[offset+i]
 		k.usable = false
 		// The configuration may have changed since the query started.
-		if r.current.generation != r.service.generation && !r.current.has(r.request.Service, shard, candidates[i].address) {
+		if r.current.generation != r.service.generation && !r.current.serves(r.request.Service, shard, candidates[i].address) {
 			continue
 		}
 		owner, ok := r.q.Owner(candidates[i].address)
--- a/querier/fleet_test.go
+++ b/querier/fleet_test.go
@@ -13,6 +13,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"jujubegate.example/jujubegate"
+	"jujubegate.example/jujubegate/configurator"
 	"jujubegate.example/jujubegate/leaser"
 )
 
@@ -38,6 +39,7 @@
 	book     *ReportBook
 	topo     *fakeTopology
 	outSince time.Time
+	movedAt  time.Time
 	// draining and ownerless are the targets that must get nothing, since when.
 	draining  map[jujubegate.Address]time.Time
 	ownerless map[jujubegate.Address]time.Time
@@ -64,6 +66,16 @@
 	}
 	f.topo = newTopology(f.shards, f.replicas)
 	f.topo.spec.Deadline = 160 * time.Millisecond
+	if f.replicas > 1 && random.IntN(2) == 0 {
+		f.topo.spec.Version = "v1"
+		for i := range f.topo.targets {
+			f.topo.targets[i].Version = "v1"
+			if i%f.replicas == f.replicas-1 {
+				f.topo.targets[i].Version = "v2"
+			}
+		}
+		f.topo.move = &configurator.MoveSpec{From: "v1", To: "v2", State: configurator.Shifting, Share: 50}
+	}
 	for _, t := range f.topo.targets {
 		f.held[t.Address] = []jujubegate.Snapshot{2, 3}
 		f.report(t.Address)
@@ -114,6 +126,13 @@
 		next.out = []jujubegate.DataCentre{"", "dc0", "dc1"}[random.IntN(3)]
 		f.topo, f.outSince = &next, time.Now()
 	}
+	if f.topo.move != nil && random.IntN(3) == 0 {
+		next, move := *f.topo, *f.topo.move
+		next.generation++
+		move.State = []configurator.MoveState{configurator.Shifting, configurator.TakenBack, configurator.Done}[random.IntN(3)]
+		next.move = &move
+		f.topo, f.movedAt = &next, time.Now()
+	}
 	f.newest++
 	t := f.topo.targets[random.IntN(len(f.topo.targets))].Address
 	toggle(f.draining, t, random)
@@ -246,6 +265,10 @@
 		if t.Address == sub.Target && f.topo.out != "" && t.DataCentre == f.topo.out && time.Since(f.outSince) > 0 {
 			f.faults = append(f.faults, "sub-request to a data centre that is out")
 		}
+		if move := f.topo.move; t.Address == sub.Target && move != nil && time.Since(f.movedAt) > 0 &&
+			(move.State == configurator.TakenBack && t.Version == "v2" || move.State == configurator.Done && t.Version == "v1") {
+			f.faults = append(f.faults, "sub-request to a version that does not serve")
+		}
 	}
 }
 
--- a/querier/handle.go
+++ b/querier/handle.go
@@ -95,9 +95,10 @@
 	switch refusal.Reason {
 	case jujubegate.TargetDown, jujubegate.TargetError, jujubegate.BadAnswer:
 		return balancer.Failed
-	case jujubegate.Overloaded, jujubegate.Shed, jujubegate.TargetDraining, jujubegate.NotOwner,
-		jujubegate.OutOfService:
+	case jujubegate.Overloaded, jujubegate.Shed:
 		return balancer.Refused
+	case jujubegate.TargetDraining, jujubegate.NotOwner, jujubegate.OutOfService:
+		return balancer.Excluded
 	}
 	return balancer.Abandoned
 }
--- a/querier/place.go
+++ b/querier/place.go
@@ -58,7 +58,7 @@
 	// An order is rare: its outcome is not part of the replica's record.
 	c.replica.Forget()
 	return Place{
-		Service: s.spec, Generation: s.generation, Owner: r.known[s.offsets[shard]+a.candidate].owner,
+		Service: s.spec, Generation: r.current.generation, Owner: r.known[s.offsets[shard]+a.candidate].owner,
 		SubRequest: jujubegate.SubRequest{Shard: shard, Target: c.address, Attempt: 1},
 		Snapshot:   r.snapshot,
 	}, nil
--- a/querier/plan.go
+++ b/querier/plan.go
@@ -116,11 +116,13 @@
 	return otherDataCentre
 }
 
-// has reports whether the target may still serve the shard.
-func (p *plan) has(service jujubegate.Service, shard int, address jujubegate.Address) bool {
+// serves reports whether the target may serve the shard for some queries.
+func (p *plan) serves(service jujubegate.Service, shard int, address jujubegate.Address) bool {
 	s, ok := p.services[service]
 	if !ok || shard >= len(s.shards) {
 		return false
 	}
-	return slices.ContainsFunc(s.shards[shard], func(c candidate) bool { return c.address == address })
+	return slices.ContainsFunc(s.shards[shard], func(c candidate) bool {
+		return c.address == address && versionServes(s.spec, s.move, s.moved, c.version)
+	})
 }
--- a/querier/send.go
+++ b/querier/send.go
@@ -94,7 +94,7 @@
 		batch := jujubegate.Batch{
 			QueryID: r.id, Service: r.request.Service, Route: r.request.Route, Caller: r.request.Caller,
 			Snapshot: r.snapshot, Deadline: r.deadline, Priority: int(r.service.spec.Priority),
-			Body: r.request.Body, Generation: r.service.generation, SubRequests: g.subs,
+			Body: r.request.Body, Generation: r.current.generation, SubRequests: g.subs,
 		}
 		r.logSends(now, g)
 		go r.q.stream(ctx, g.owner, batch, number, r.inbox)
--- a/querier/version.go
+++ b/querier/version.go
@@ -47,3 +47,14 @@
 	}
 	return from, versions{}, false
 }
+
+// versionServes reports whether some queries use targets of the version.
+func versionServes(spec configurator.ServiceSpec, move configurator.MoveSpec, moved bool, version jujubegate.Version) bool {
+	if moved && version == move.To {
+		return move.State != configurator.TakenBack
+	}
+	if moved {
+		return move.State != configurator.Done && versions{only: move.From}.allows(version)
+	}
+	return versions{only: spec.Version}.allows(version)
+}
--- a/querier/version_test.go
+++ b/querier/version_test.go
@@ -54,6 +54,17 @@
 				}
 				So(wrong, ShouldEqual, 0)
 				So(len(served), ShouldEqual, len(c.allowed))
+				for _, v := range []string{"v1", "v2", "v3", ""} {
+					serves := versionServes(configurator.ServiceSpec{Version: c.version}, move, c.move != nil, jujubegate.Version(v))
+					// A version with a share of 0 or 100 percent still takes part in its move.
+					if inMove := c.move != nil && (v == "v1" || v == "v2"); !inMove || c.share > 0 && c.share < 1 {
+						So(serves, ShouldEqual, served[v] > 0)
+					}
+				}
+				if c.move != nil {
+					So(versionServes(configurator.ServiceSpec{}, move, true, "v2"), ShouldEqual, move.State != configurator.TakenBack)
+					So(versionServes(configurator.ServiceSpec{}, move, true, "v1"), ShouldEqual, move.State != configurator.Done)
+				}
 				for _, v := range c.allowed {
 					So(served[v], ShouldBeGreaterThan, 0)
 				}
