Test the orderer's use of its querier, and measure merges with gaps

Cause: the wiring of New was not tested, and a partial answer with many gaps was not measured. Change: a test and a benchmark.

--- a/merger/bench_test.go
+++ b/merger/bench_test.go
@@ -112,3 +112,27 @@
 		})
 	}
 }
+
+// BenchmarkMergeWithGaps is the final merge of a partial answer that lacks
+// every other shard, the most ranges that can't be joined.
+func BenchmarkMergeWithGaps(b *testing.B) {
+	for _, shards := range fanOuts {
+		b.Run(fmt.Sprintf("FanOut=%d", shards), func(b *testing.B) {
+			var m Merger
+			m.Reset("q", 1, shards)
+			for _, r := range benchResults(shards) {
+				m.Sent(jujubegate.SubRequest{Shard: r.Shard, Attempt: 1, Target: r.Target})
+				if r.Shard%2 == 0 {
+					_, _ = m.Add("q", &r)
+				}
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				if _, err := m.Merge(); err != nil {
+					b.Fatal(err)
+				}
+			}
+			b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N*shards), "ns/shard")
+		})
+	}
+}
--- a/orderer/orderer_test.go
+++ b/orderer/orderer_test.go
@@ -319,3 +319,28 @@
 		So(q.rows, ShouldEqual, maxRepairRows)
 	})
 }
+
+func TestOrdererOfQuerier(t *testing.T) {
+	// Guards against an orderer that keeps the function fields which the querier
+	// had when the orderer was built.
+	Convey("An orderer follows its querier", t, func() {
+		clock := clockwork.NewRealClock()
+		q := querier.New("dc0", clock, rand.New(rand.NewPCG(1, 2)), zap.NewNop())
+		o := New(newFakeStore().store(), q, clock, 100, zap.NewNop())
+		_, refusal := o.Order(context.Background(), newRequest(clock.Now()))
+		So(refusal.Reason, ShouldEqual, jujubegate.Isolated)
+		q.Serving = trueAlways
+		_, refusal = o.Order(context.Background(), newRequest(clock.Now()))
+		So(refusal.Reason, ShouldEqual, jujubegate.UnknownService)
+		So(refusal.Outcome, ShouldEqual, jujubegate.NotRun)
+		sent := false
+		q.Dispatch = func(context.Context, leaser.Member, jujubegate.Batch,
+			func([]jujubegate.SubResult, []jujubegate.TargetReport),
+		) error {
+			sent = true
+			return nil
+		}
+		So(o.Dispatch(context.Background(), leaser.Member{}, jujubegate.Batch{}, nil), ShouldBeNil)
+		So(sent, ShouldBeTrue)
+	})
+}
