Judge versions by betting and move their traffic

Cause: a bad version must get a small share and no work soon after its fault shows; a good one must be through by its deadline, also while the whole system slows down. Change: e-processes per route, load level and kind of fault against the old version at the same time (Trial, Tracker), halts that go to peers, the plan of shares with capacity, deadline and forecast, and the loop that submits.

--- /dev/null
+++ b/mover/mover.go
@@ -0,0 +1,214 @@
+package mover
+
+import (
+	"context"
+	"errors"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/samber/oops"
+	"go.uber.org/zap"
+
+	"jujubegate.example/jujubegate"
+	"jujubegate.example/jujubegate/configurator"
+)
+
+const (
+	// Tick is the time between two decisions.
+	Tick = 200 * time.Millisecond
+	// refusedPause is how long a statement that was refused for another reason
+	// than a conflict or the store is not submitted again.
+	refusedPause = 5 * time.Second
+	// submitTimeout bounds one proposal, so that a slow store does not keep the
+	// instance from judging the next blocks for long.
+	submitTimeout = 2 * time.Second
+)
+
+// Mover judges the running moves, stops bad versions at this instance, and
+// submits the next statements if this instance is the one to act. The fields
+// are set before Run.
+type Mover struct {
+	Clock         jujubegate.Clock
+	Configuration func() configurator.Configuration
+	// Evidence returns the fleet's cumulative counts, Own those of this instance.
+	Evidence func() []jujubegate.RouteCount
+	Own      func() []jujubegate.RouteCount
+	// Reports returns what the owners know about the targets.
+	Reports func() []jujubegate.TargetReport
+	// Instances returns the number of instances that judge by their own evidence.
+	Instances func() int
+	// Acts reports whether this instance submits statements. The others stay quiet.
+	Acts func() bool
+	// Submit proposes a statement, like configurator.Follower.Submit.
+	Submit func(ctx context.Context, text, author string) error
+	Halts  *Halts
+	Log    *zap.Logger
+	// Author is the author of the statements.
+	Author string
+
+	mu sync.Mutex
+	// fleet and own are guarded by mu, like the tables of the last tick.
+	fleet, own *Tracker
+	judgements map[jujubegate.Service]Judgement
+	// logged holds the last line per service, so that each decision is logged once.
+	logged map[jujubegate.Service]string
+	// refused holds when a kind of statement was refused last.
+	refused map[string]time.Time
+}
+
+// New returns a mover. Fields that the arguments don't set have defaults: one
+// instance, one that acts, and no log.
+func New(
+	clock jujubegate.Clock, configuration func() configurator.Configuration,
+	evidence, own func() []jujubegate.RouteCount, reports func() []jujubegate.TargetReport,
+	submit func(ctx context.Context, text, author string) error, halts *Halts,
+) *Mover {
+	return &Mover{
+		Clock: clock, Configuration: configuration, Evidence: evidence, Own: own, Reports: reports,
+		Instances: func() int { return 1 }, Acts: func() bool { return true },
+		Submit: submit, Halts: halts, Log: zap.NewNop(), Author: "mover",
+		fleet: NewTracker(FleetBlock), own: NewTracker(LocalBlock),
+		logged: make(map[jujubegate.Service]string), refused: make(map[string]time.Time),
+	}
+}
+
+// Run decides on every tick until the context ends.
+func (m *Mover) Run(ctx context.Context) {
+	for {
+		m.Step(ctx)
+		select {
+		case <-ctx.Done():
+			return
+		case <-m.Clock.After(Tick):
+		}
+	}
+}
+
+// Step makes one decision.
+func (m *Mover) Step(ctx context.Context) {
+	now, c := m.Clock.Now(), m.Configuration()
+	m.judge(now, c)
+	if !m.Acts() {
+		return
+	}
+	for _, p := range Decide(now, c, m.evidence()) {
+		if ctx.Err() != nil {
+			return
+		}
+		if at, ok := m.refused[head(p)]; ok && now.Sub(at) < refusedPause {
+			continue
+		}
+		if m.Configuration().Generation() != c.Generation() {
+			// The other decisions rest on an old configuration; the next tick
+			// decides again.
+			return
+		}
+		m.submit(ctx, p)
+	}
+}
+
+// judge adds the newest counts and stops versions that are bad.
+func (m *Mover) judge(now time.Time, c configurator.Configuration) {
+	counts, own, instances := m.Evidence(), m.Own(), max(m.Instances(), 1)
+	m.mu.Lock()
+	m.fleet.Observe(now, c, counts, FalseAlarms/2)
+	m.own.Observe(now, c, own, FalseAlarms/2/float64(instances))
+	m.judgements = m.fleet.Judgements()
+	for service, verdict := range m.own.Bad() {
+		// The own evidence is newer by a heartbeat than the fleet's.
+		if j, ok := m.judgements[service]; ok && j.Verdict.Outcome != Bad {
+			j.Verdict, j.Suspicious, j.Relaxed = verdict, true, false
+			m.judgements[service] = j
+		}
+	}
+	halts := append(m.fleet.Halts("whole fleet"), m.own.Halts(m.Author)...)
+	m.mu.Unlock()
+	m.Halts.Align(c)
+	for _, h := range halts {
+		if !m.Halts.Halted(h.Service, h.Version) {
+			m.Halts.Merge([]Halt{h})
+			m.Log.Warn("mover: halted", zap.String("Service", string(h.Service)),
+				zap.String("Version", string(h.Version)), zap.String("Reason", h.Reason))
+		}
+	}
+}
+
+func (m *Mover) evidence() Evidence {
+	m.mu.Lock()
+	judgements := m.judgements
+	m.mu.Unlock()
+	reports := make(map[jujubegate.Address]jujubegate.TargetReport)
+	for _, r := range m.Reports() {
+		reports[r.Target] = r
+	}
+	return Evidence{Judgements: judgements, Halts: m.Halts.List(), Reports: reports}
+}
+
+// submit proposes a statement. A conflict or an unavailable store is no
+// failure, since the next tick decides again on what is then in force.
+func (m *Mover) submit(ctx context.Context, p Proposal) {
+	ctx, cancel := context.WithTimeout(ctx, submitTimeout)
+	defer cancel()
+	err := m.Submit(ctx, p.Text, m.Author)
+	outcome := "Accepted"
+	if err != nil {
+		outcome = classify(err)
+		if outcome == "Refused" {
+			m.refused[head(p)] = m.Clock.Now()
+			err = oops.In("mover").With("Statement", p.Text).Wrap(err)
+		}
+	}
+	line := p.Text + outcome
+	if m.logged[p.Service] == line {
+		return
+	}
+	m.logged[p.Service] = line
+	m.Log.Info("mover: decided", zap.String("Service", string(p.Service)), zap.String("Statement", p.Text),
+		zap.String("Reason", p.Reason), zap.String("Outcome", outcome), zap.Error(err))
+}
+
+// head identifies a statement without its fields, whose numbers change.
+func head(p Proposal) string {
+	verb, _, _ := strings.Cut(p.Text, "{")
+	return string(p.Service) + " " + verb
+}
+
+// classify names the outcome of a proposal that failed.
+func classify(err error) string {
+	var conflict *configurator.ConflictError
+	var unavailable *configurator.UnavailableError
+	var unknown *configurator.OutcomeUnknownError
+	switch {
+	case errors.As(err, &conflict):
+		return "Conflict"
+	case errors.As(err, &unavailable):
+		return "Unavailable"
+	case errors.As(err, &unknown), errors.Is(err, context.DeadlineExceeded), errors.Is(err, context.Canceled):
+		return "Unknown"
+	}
+	return "Refused"
+}
+
+// Columns returns the columns Verdict and Forecast of a service's move for
+// Show Moves. The forecast is empty unless the move is running.
+func (m *Mover) Columns(service jujubegate.Service) (verdict, forecast string) {
+	c := m.Configuration()
+	move, ok := c.Move(service)
+	if !ok {
+		return "", ""
+	}
+	e := m.evidence()
+	if j, judged := e.Judgements[service]; judged {
+		verdict = j.Verdict.String()
+	}
+	for _, h := range e.Halts {
+		if h.Service == service && h.Version == move.To && h.Started.Equal(move.Started) {
+			verdict = h.Reason
+		}
+	}
+	if move.Running() {
+		forecast = Predict(m.Clock.Now(), c, move, e).String()
+	}
+	return verdict, forecast
+}
--- /dev/null
+++ b/mover/tracker.go
@@ -0,0 +1,111 @@
+package mover
+
+import (
+	"slices"
+	"time"
+
+	"jujubegate.example/jujubegate"
+	"jujubegate.example/jujubegate/configurator"
+)
+
+// Tracker keeps the trials of all moves on one source of counts. It does no I/O
+// and is not safe for concurrent use.
+type Tracker struct {
+	block  time.Duration
+	trials map[jujubegate.Service]*Trial
+	// before holds the counts at the end of the last block, at the time last.
+	before []jujubegate.RouteCount
+	last   time.Time
+}
+
+// NewTracker returns a tracker that forms blocks of evidence of a given length.
+func NewTracker(block time.Duration) *Tracker {
+	return &Tracker{block: block, trials: make(map[jujubegate.Service]*Trial)}
+}
+
+// Observe takes cumulative counts. What they have grown by since the last block
+// becomes a block, unless that is too short ago. Counts from before the first
+// call are no evidence. A new trial gets the given bound for false alarms.
+func (t *Tracker) Observe(
+	now time.Time, c configurator.Configuration, counts []jujubegate.RouteCount, falseAlarms float64,
+) {
+	t.follow(now, c, falseAlarms)
+	if !t.last.IsZero() && now.Sub(t.last) < t.block {
+		return
+	}
+	if !t.last.IsZero() && len(t.trials) > 0 {
+		grown := Difference(t.before, counts)
+		for service, trial := range t.trials {
+			if m, ok := c.Move(service); ok {
+				trial.Add(now, m, grown)
+			}
+		}
+	}
+	t.before, t.last = slices.Clone(counts), now
+}
+
+// follow starts and ends trials with the moves.
+func (t *Tracker) follow(now time.Time, c configurator.Configuration, falseAlarms float64) {
+	for service, trial := range t.trials {
+		m, ok := c.Move(service)
+		ended := !ok || m.State == configurator.TakenBack || !m.Started.Equal(trial.move.Started) ||
+			(!trial.done.IsZero() && now.Sub(trial.done) > WatchAfterDone)
+		if ended {
+			delete(t.trials, service)
+		}
+	}
+	for _, m := range c.Moves() {
+		if t.trials[m.Service] == nil && m.Running() {
+			t.trials[m.Service] = NewTrial(m, routesOf(c, m.Service), t.block, falseAlarms)
+		}
+	}
+}
+
+func routesOf(c configurator.Configuration, service jujubegate.Service) []jujubegate.Route {
+	var routes []jujubegate.Route
+	for _, r := range c.Routes() {
+		if r.Service == service {
+			routes = append(routes, r.Name)
+		}
+	}
+	return routes
+}
+
+// Judgements returns what the evidence says about each move, by service.
+func (t *Tracker) Judgements() map[jujubegate.Service]Judgement {
+	all := make(map[jujubegate.Service]Judgement, len(t.trials))
+	for service, trial := range t.trials {
+		all[service] = trial.Judgement()
+	}
+	return all
+}
+
+// Bad returns the verdicts against the versions that the evidence calls bad, by
+// service.
+func (t *Tracker) Bad() map[jujubegate.Service]Verdict {
+	var all map[jujubegate.Service]Verdict
+	for service, trial := range t.trials {
+		if trial.bad != nil {
+			if all == nil {
+				all = make(map[jujubegate.Service]Verdict)
+			}
+			all[service] = *trial.bad
+		}
+	}
+	return all
+}
+
+// Halts returns a halt for every running move that the evidence calls bad. The
+// source names whose evidence it is.
+func (t *Tracker) Halts(source string) []Halt {
+	var list []Halt
+	for service, trial := range t.trials {
+		if trial.bad != nil && trial.move.Running() {
+			list = append(list, Halt{
+				Service: service, Version: trial.move.To, Started: trial.move.Started,
+				Reason: trial.bad.String() + " (" + source + ")",
+			})
+		}
+	}
+	return list
+}
--- /dev/null
+++ b/mover/trial.go
@@ -0,0 +1,261 @@
+package mover
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"jujubegate.example/jujubegate"
+	"jujubegate.example/jujubegate/configurator"
+)
+
+// cellID is a cell within one service.
+type cellID struct {
+	route jujubegate.Route
+	load  jujubegate.LoadLevel
+}
+
+// trialCell is the evidence on one route and load level.
+type trialCell struct {
+	contests [2]contest
+	// times holds the old version's recent service times.
+	times histogram
+	// bound is the bucket above which answers are slow, from the blocks before;
+	// -1 if it is unknown.
+	bound int
+	// weight is the number of answers of both versions.
+	weight float64
+}
+
+// Trial judges one move by blocks of evidence. It does no I/O and is not safe
+// for concurrent use.
+type Trial struct {
+	move    configurator.MoveSpec
+	horizon int
+	// badAt, suspectAt and goodAt are logarithms of capital.
+	badAt, suspectAt, goodAt float64
+	cells                    map[cellID]*trialCell
+	// routes limits the cells to declared routes.
+	routes []jujubegate.Route
+	quiet  int
+	bad    *Verdict
+	// judged is the result of the last block; nil if it has to be computed.
+	judged *Judgement
+
+	begun, since, done   time.Time
+	answers, stepAnswers uint64
+}
+
+// NewTrial returns a trial without evidence. It judges a version within the
+// tolerance as bad with a probability of at most falseAlarms, at whatever time
+// one looks.
+func NewTrial(
+	move configurator.MoveSpec, routes []jujubegate.Route, block time.Duration, falseAlarms float64,
+) *Trial {
+	tests := float64(max(len(routes), 1) * cellsPerRoute)
+	return &Trial{
+		move: move, routes: routes,
+		horizon: max(int((move.Deadline.Sub(move.Started)+WatchAfterDone)/block), 1),
+		badAt:   math.Log(tests / falseAlarms), suspectAt: -math.Log(suspicion), goodAt: -math.Log(falseGood),
+		cells: make(map[cellID]*trialCell),
+	}
+}
+
+// Add adds a block: what the counts of the service have grown by. The move is
+// the present one, with the same start.
+func (t *Trial) Add(now time.Time, move configurator.MoveSpec, grown []jujubegate.RouteCount) {
+	t.follow(now, move)
+	t.judged = nil
+	old, fresh := make(map[cellID]*jujubegate.RouteCount), make(map[cellID]*jujubegate.RouteCount)
+	var oldAnswers uint64
+	for i := range grown {
+		c := &grown[i]
+		if c.Service != move.Service || !slices.Contains(t.routes, c.Route) {
+			continue
+		}
+		id := cellID{c.Route, c.Load}
+		switch c.Version {
+		case move.From:
+			old[id] = c
+			oldAnswers += c.Answers
+		case move.To:
+			fresh[id] = c
+			t.answers += c.Answers
+			t.stepAnswers += c.Answers
+		default:
+			continue
+		}
+		t.cell(id)
+	}
+	t.quiet++
+	if oldAnswers > 0 {
+		t.quiet = 0
+	}
+	for id, cell := range t.cells {
+		cell.add(or(fresh[id]), or(old[id]), t.recorded())
+	}
+	if t.bad == nil {
+		t.judgeBad()
+	}
+}
+
+func or(c *jujubegate.RouteCount) *jujubegate.RouteCount {
+	if c == nil {
+		return &jujubegate.RouteCount{}
+	}
+	return c
+}
+
+// recorded reports whether the new version runs alone.
+func (t *Trial) recorded() bool {
+	whole := t.move.State == configurator.Done || t.move.Share >= 100
+	return whole && t.quiet >= quietBlocks
+}
+
+// follow notes the step that the move is at.
+func (t *Trial) follow(now time.Time, move configurator.MoveSpec) {
+	if t.begun.IsZero() {
+		t.begun = now
+	}
+	if t.since.IsZero() || move.Share != t.move.Share || move.State != t.move.State {
+		t.since, t.stepAnswers = now, 0
+	}
+	if move.State == configurator.Done && t.done.IsZero() {
+		t.done = now
+	}
+	t.move = move
+}
+
+func (t *Trial) cell(id cellID) *trialCell {
+	c := t.cells[id]
+	if c == nil {
+		c = &trialCell{bound: -1, contests: [2]contest{
+			Errors: newContest(Errors, t.horizon), Slowness: newContest(Slowness, t.horizon),
+		}}
+		t.cells[id] = c
+	}
+	return c
+}
+
+// add plays a block with the bound of the blocks before, and then learns.
+func (c *trialCell) add(fresh, old *jujubegate.RouteCount, recorded bool) {
+	c.weight += float64(fresh.Answers + old.Answers)
+	faults, slow := &c.contests[Errors], &c.contests[Slowness]
+	if recorded {
+		faults.alone(errorSample(fresh))
+		if c.bound >= 0 {
+			slow.alone(slowSample(fresh, c.bound+slackAfterwards))
+		}
+		return
+	}
+	faults.together(errorSample(fresh), errorSample(old))
+	faults.remember(errorSample(old))
+	if c.bound >= 0 {
+		slow.together(slowSample(fresh, c.bound+slackTogether), slowSample(old, c.bound))
+		slow.remember(slowSample(old, c.bound+slackAfterwards))
+	}
+	if old.Answers > 0 {
+		c.times.decay(shortMemory)
+		c.times.add(&old.Latency)
+		if c.times.total() >= minBound {
+			c.bound = c.times.bound(slowPart)
+		}
+	}
+}
+
+// judgeBad looks for the cell with the strongest evidence of a fault.
+func (t *Trial) judgeBad() {
+	worst := t.badAt
+	for id, cell := range t.cells {
+		for k := range cell.contests {
+			if value := cell.contests[k].bad(); value >= worst {
+				worst = value
+				v := t.verdict(Bad, id, Kind(k))
+				t.bad = &v
+			}
+		}
+	}
+}
+
+func (t *Trial) verdict(o Outcome, id cellID, k Kind) Verdict {
+	cell := t.cells[id]
+	c := &cell.contests[k]
+	v := Verdict{
+		Outcome: o, Route: id.route, Load: id.load, Kind: k,
+		New: c.fresh.percent(), Old: c.old.percent(), Answers: uint64(c.fresh.answers), Recorded: t.recorded(),
+	}
+	if k == Slowness && cell.bound >= 0 {
+		v.Bound, v.OldBound = Edge(cell.bound+slackTogether), Edge(cell.bound)
+	}
+	if v.Recorded {
+		v.Old = 100 * c.recordedRate()
+		if k == Slowness {
+			v.Bound = Edge(cell.bound + slackAfterwards)
+			v.OldBound = v.Bound
+		}
+	}
+	return v
+}
+
+// Judgement returns what the evidence says since the last block.
+func (t *Trial) Judgement() Judgement {
+	if t.judged == nil {
+		j := t.judge()
+		t.judged = &j
+	}
+	return *t.judged
+}
+
+func (t *Trial) judge() Judgement {
+	j := Judgement{
+		Since: t.since, StepAnswers: t.stepAnswers, Answers: t.answers, Begun: t.begun, Done: t.done,
+		Proved: 1, Relaxed: true,
+	}
+	if t.bad != nil {
+		j.Verdict, j.Suspicious, j.Relaxed = *t.bad, true, false
+		return j
+	}
+	required := t.required()
+	good := len(required) > 0
+	for _, id := range required {
+		for k := range t.cells[id].contests {
+			c := &t.cells[id].contests[k]
+			j.Suspicious = j.Suspicious || c.bad() >= t.suspectAt
+			proved := min(max(c.good()/t.goodAt, 0), 1)
+			if proved < 1 {
+				good = false
+				j.Relaxed = j.Relaxed && id.load == jujubegate.Loaded && c.answers >= relaxedAnswers
+			}
+			if proved < j.Proved {
+				j.Proved, j.Verdict = proved, t.verdict(Undecided, id, Kind(k))
+			}
+		}
+	}
+	if good {
+		j.Verdict = Verdict{Outcome: Good, Answers: t.answers}
+	}
+	if len(required) == 0 {
+		j.Proved, j.Relaxed = 0, false
+	}
+	return j
+}
+
+// required returns the cells that hold a part of the service's answers worth
+// judging, in a fixed sequence.
+func (t *Trial) required() []cellID {
+	total := 0.0
+	for _, c := range t.cells {
+		total += c.weight
+	}
+	var list []cellID
+	for id, c := range t.cells {
+		if c.weight >= requiredPart*total {
+			list = append(list, id)
+		}
+	}
+	slices.SortFunc(list, func(a, b cellID) int {
+		return cmp.Or(cmp.Compare(a.route, b.route), cmp.Compare(a.load, b.load))
+	})
+	return list
+}
--- /dev/null
+++ b/mover/verdict.go
@@ -0,0 +1,83 @@
+package mover
+
+import (
+	"fmt"
+	"time"
+
+	"jujubegate.example/jujubegate"
+)
+
+// Outcome is the result of judging a version.
+type Outcome int
+
+// Outcomes of a judgement.
+const (
+	// Undecided is too little evidence.
+	Undecided Outcome = iota
+	// Good is enough evidence that the version is not worse than the tolerance.
+	Good
+	// Bad is enough evidence that it is worse.
+	Bad
+)
+
+// String returns the word shown to operators.
+func (o Outcome) String() string { return [...]string{"Undecided", "Good", "Bad"}[o] }
+
+// Verdict is the judgement about a version and what it rests on. The fields
+// after Outcome are those of the cell that decided or, while undecided, of the
+// cell with the least evidence.
+type Verdict struct {
+	Outcome Outcome
+	Route   jujubegate.Route
+	Load    jujubegate.LoadLevel
+	Kind    Kind
+	// New and Old are the rates of both versions in percent.
+	New, Old float64
+	// Answers is the number of recent answers of the new version.
+	Answers uint64
+	// Bound is the time above which the new version's answers are slow, OldBound
+	// that for the old version's; set for Slowness.
+	Bound, OldBound time.Duration
+	// Recorded is set if the old rate was recorded before the old version lost
+	// its traffic.
+	Recorded bool
+}
+
+// String returns the verdict as a sentence for operators.
+func (v Verdict) String() string {
+	if v.Route == "" {
+		return v.Outcome.String()
+	}
+	what, compared := v.Kind.String(), "for the old version at the same time"
+	if v.Recorded {
+		compared = "recorded for the old version before"
+	}
+	if v.Kind == Slowness && v.Bound > 0 {
+		what = fmt.Sprintf("answers slower than %s", v.Bound.Round(100*time.Microsecond))
+		compared = fmt.Sprintf("slower than %s %s", v.OldBound.Round(100*time.Microsecond), compared)
+	}
+	return fmt.Sprintf("%s: route %s, %s: %s %.2f%% of %d, %.2f%% %s",
+		v.Outcome, v.Route, v.Load, what, v.New, v.Answers, v.Old, compared)
+}
+
+// Judgement is what the evidence says about a move at one time.
+type Judgement struct {
+	Verdict Verdict
+	// Suspicious is set while the evidence against the version is too strong to
+	// raise its share.
+	Suspicious bool
+	// Relaxed is set if every cell is good, or under load with some answers and
+	// no sign of a fault.
+	Relaxed bool
+	// Since is when the present share was first seen.
+	Since time.Time
+	// StepAnswers is the number of answers of the new version since then, and
+	// Answers that since the evidence began at Begun.
+	StepAnswers uint64
+	Answers     uint64
+	Begun       time.Time
+	// Proved is the part of the evidence for Good that the slowest cell has, 0 to 1.
+	Proved float64
+	// Done is when the move was first seen as done; zero before.
+	Done time.Time
+}
