Cover the check of closed connections and of reports of new targets

Cause: removing the check before the first byte, or the number of Warm reports that a new target needs, failed no test. Change: tables for both. Conclusion: these two rules are covered.

--- a/dialer/send_test.go
+++ b/dialer/send_test.go
@@ -277,6 +277,42 @@
 	})
 }
 
+func TestClosedConnectionIsNotWritten(t *testing.T) {
+	// Guards against an unknown outcome where the close was there to be seen.
+	cases := []struct {
+		name  string
+		spoil func(c *conn, peer net.Conn)
+		stale bool
+	}{
+		{"an open connection", func(*conn, net.Conn) {}, false},
+		{"a connection that the target closed", func(_ *conn, peer net.Conn) { peer.Close() }, true},
+		{"a connection with unread bytes", func(_ *conn, peer net.Conn) { _, _ = peer.Write([]byte("x")) }, true},
+		{"a connection with a wrong answer", func(c *conn, _ net.Conn) { c.desynchronized.Store(true) }, true},
+	}
+	Convey("A request on", t, func() {
+		for _, c := range cases {
+			Convey(c.name, func() {
+				l, _ := net.Listen("tcp", "127.0.0.1:0")
+				defer l.Close()
+				raw, err := net.Dial("tcp", l.Addr().String())
+				So(err, ShouldBeNil)
+				peer, _ := l.Accept()
+				defer peer.Close()
+				used := newConn(raw, 0, func(*conn) {}, nil)
+				defer used.Close()
+				x := &exchange{clock: func() time.Duration { return 0 }}
+				used.current.Store(x)
+				c.spoil(used, peer)
+				So(eventually(func() bool { return used.alive() != c.stale || used.desynchronized.Load() }), ShouldBeTrue)
+				_, err = used.Write([]byte("POST"))
+				So(err != nil, ShouldEqual, c.stale)
+				So(x.stale.Load(), ShouldEqual, c.stale)
+				So(x.seal(), ShouldEqual, c.stale)
+			})
+		}
+	})
+}
+
 func TestNextAnswerAfterWrongOne(t *testing.T) {
 	// Guards against a target that answers twice, which shifts all later
 	// answers of the connection by one.
--- a/limiter/limiter_test.go
+++ b/limiter/limiter_test.go
@@ -70,6 +70,17 @@
 		{"answers without a load report grow slowly", func(d *driver) {
 			d.many(newStreak, Answered, warmTime)
 		}, 1, jujubegate.Cold},
+		{"new, reported warm too few times", func(d *driver) {
+			for range newReports - 1 {
+				d.Report(jujubegate.Warm, d.now)
+				d.many(maxStreak, Answered, warmTime)
+			}
+		}, 1, jujubegate.Cold},
+		{"of a known service, reported warm once", func(d *driver) {
+			d.Expect(warmTime)
+			d.Report(jujubegate.Warm, d.now)
+			d.many(newStreak, Answered, warmTime)
+		}, 2, jujubegate.Cold},
 		{"reported cold holds the cold limit", func(d *driver) {
 			for range 1000 {
 				d.Report(jujubegate.Cold, d.now)
