Test the cold bound at the target with cancellations over HTTP

Cause: the bound was tested at the limiter and with stubs only, not with real connections that are cancelled while the target works on. Change: a cold HTTP target that notices cancellations late counts the requests and connections that it has at once.

--- a/dispatcher/http_test.go
+++ b/dispatcher/http_test.go
@@ -26,10 +26,15 @@
 	orders atomic.Int32
 }
 
-func newTarget() *target {
+func newTarget() *target { return watchedTarget(nil) }
+
+// watchedTarget is a target that tells the states of its connections.
+func watchedTarget(watch func(net.Conn, http.ConnState)) *target {
 	t := &target{}
 	t.state.Store("Warm")
-	t.Server = httptest.NewServer(t)
+	t.Server = httptest.NewUnstartedServer(t)
+	t.Config.ConnState = watch
+	t.Start()
 	return t
 }
 
