Do not close a connection that another request has taken

Cause: after a wrong answer the connection was closed even if the next request already ran on it, which would have cancelled a running order. Change: the connection is marked before it is let go, and closed only while no other request has it. The doc comment of Do tells how orders end. Measured: go test -race -count=10 ./dialer and go test -race ./dispatcher pass; the race itself was found by reading, no test reaches it. Conclusion: a wrong answer ends no other request.

--- a/dialer/send.go
+++ b/dialer/send.go
@@ -81,11 +81,15 @@
 		}
 		return result, x.stale.Load() && result.Closed == nil
 	}
-	used.current.CompareAndSwap(x, nil)
 	result.Replied = true
 	result.Answer, result.Refusal = decode(r, status, content)
-	if result.Refusal != nil && result.Refusal.Reason == jujubegate.BadAnswer {
+	bad := result.Refusal != nil && result.Refusal.Reason == jujubegate.BadAnswer
+	if bad {
 		used.desynchronized.Store(true)
+	}
+	// If another request already has the connection, closing it would cancel
+	// that one; it finds the mark, or its own wrong answer.
+	if used.current.CompareAndSwap(x, nil) && bad {
 		_ = used.Close()
 	}
 	return result, false
--- a/dispatcher/run.go
+++ b/dispatcher/run.go
@@ -58,8 +58,10 @@
 
 // Do runs all sub-requests of a batch and delivers each result once, those of
 // one millisecond together. It returns after the last delivery; deliver is
-// not called concurrently. When the context ends, what is queued is refused
-// and what runs is cancelled, except for orders.
+// not called concurrently. When the context ends or the deadline passes, what
+// is queued is refused and what runs is cancelled. A running order is not: its
+// answer is awaited until one second after the deadline, then its outcome is
+// delivered as unknown.
 func (d *Dispatcher) Do(ctx context.Context, batch jujubegate.Batch, deliver func([]jujubegate.SubResult)) {
 	if len(batch.SubRequests) == 0 {
 		return
