Test the tally against plain maps and ignore slow cold targets

Cause: targets of a new version start cold and answer slowly, so that a good version could be called slow. A cell under load gets few answers at 5%, so that a good version could miss its deadline for want of load. Change: service times count from the first time that a target was warm, after a minute at the latest; errors always count. From half to three quarters of the time to the deadline the answers wanted under load fall from 100 to 0. Trackers ask for counts only while a move runs.

--- a/mover/evidence.go
+++ b/mover/evidence.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -10,8 +11,15 @@
 	"jujubegate.example/jujubegate"
 )
 
-// maxCells bounds the memory of a tally against callers that invent routes.
-const maxCells = 4096
+const (
+	// maxCells bounds the memory of a tally against callers that invent routes.
+	maxCells = 4096
+	// maxTargets bounds the number of targets whose warm-up is remembered.
+	maxTargets = 16384
+	// warmUp is the longest time during which the slow answers of a target that
+	// has not been warm yet are ignored.
+	warmUp = time.Minute
+)
 
 // CellKey identifies a cell of evidence.
 type CellKey struct {
@@ -41,14 +49,26 @@
 // Tally counts the ends of the sub-requests that this instance sent to its
 // targets, since the start of the process. It is safe for concurrent use.
 type Tally struct {
-	mu    sync.Mutex
-	cells atomic.Pointer[map[CellKey]*cell]
+	warm    func(jujubegate.Address) bool
+	mu      sync.Mutex
+	cells   atomic.Pointer[map[CellKey]*cell]
+	targets atomic.Pointer[map[jujubegate.Address]*warming]
 }
 
-// NewTally returns an empty tally.
-func NewTally() *Tally {
-	t := &Tally{}
+// warming is the first warm-up of a target.
+type warming struct {
+	since time.Time
+	over  atomic.Bool
+}
+
+// NewTally returns an empty tally. The function reports whether the owner takes
+// a target for warm. Service times count only from then on, because the targets
+// of a good version answer slowly too until they are warm; nil counts all. A
+// target that turns cold again is not excluded, since a version may make it slow.
+func NewTally(warm func(jujubegate.Address) bool) *Tally {
+	t := &Tally{warm: warm}
 	t.cells.Store(&map[CellKey]*cell{})
+	t.targets.Store(&map[jujubegate.Address]*warming{})
 	return t
 }
 
@@ -57,7 +77,7 @@
 // cancelled while it ran counts with the time until then, or a slow version
 // would lose its slowest requests to hedges.
 func (t *Tally) Observe(
-	target jujubegate.Target, route jujubegate.Route, inFlight int, failed bool, took time.Duration, _ time.Time,
+	target jujubegate.Target, route jujubegate.Route, inFlight int, failed bool, took time.Duration, now time.Time,
 ) {
 	key := CellKey{target.Service, target.Version, route, jujubegate.Alone}
 	if inFlight > 1 {
@@ -69,17 +89,56 @@
 			return
 		}
 	}
+	timed := !failed && t.warmed(target.Address, now)
 	bucket := Bucket(took)
 	c.mu.Lock()
 	c.count.Answers++
-	if failed {
+	switch {
+	case failed:
 		c.count.Errors++
-	} else {
+	case timed:
 		c.count.Latency[bucket]++
 	}
 	c.mu.Unlock()
 }
 
+// warmed reports whether the first warm-up of a target is over.
+func (t *Tally) warmed(a jujubegate.Address, now time.Time) bool {
+	if t.warm == nil {
+		return true
+	}
+	w := (*t.targets.Load())[a]
+	if w == nil {
+		if w = t.addTarget(a, now); w == nil {
+			return true
+		}
+	}
+	if w.over.Load() {
+		return true
+	}
+	if t.warm(a) || now.Sub(w.since) >= warmUp {
+		w.over.Store(true)
+		return true
+	}
+	return false
+}
+
+// addTarget starts the warm-up of a target, or returns nil if there are too
+// many.
+func (t *Tally) addTarget(a jujubegate.Address, now time.Time) *warming {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	old := *t.targets.Load()
+	if w := old[a]; w != nil || len(old) >= maxTargets {
+		return w
+	}
+	next := maps.Clone(old)
+	w := &warming{since: now}
+	next[a] = w
+	t.targets.Store(&next)
+	return w
+}
+
 // add returns a new cell, or nil if there are too many.
 func (t *Tally) add(key CellKey) *cell {
 	t.mu.Lock()
@@ -91,10 +150,7 @@
 	if len(old) >= maxCells {
 		return nil
 	}
-	next := make(map[CellKey]*cell, len(old)+1)
-	for k, c := range old {
-		next[k] = c
-	}
+	next := maps.Clone(old)
 	c := &cell{count: jujubegate.RouteCount{
 		Service: key.Service, Version: key.Version, Route: key.Route, Load: key.Load,
 	}}
--- /dev/null
+++ b/mover/evidence_test.go
@@ -0,0 +1,166 @@
+package mover
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+	"pgregory.net/rapid"
+
+	"jujubegate.example/jujubegate"
+)
+
+// model counts like Tally, by plain maps.
+type model map[CellKey]jujubegate.RouteCount
+
+func (m model) observe(t jujubegate.Target, route jujubegate.Route, inFlight int, failed bool, took time.Duration) {
+	load := jujubegate.Alone
+	if inFlight > 1 {
+		load = jujubegate.Loaded
+	}
+	k := CellKey{t.Service, t.Version, route, load}
+	c := m[k]
+	c.Service, c.Version, c.Route, c.Load = t.Service, t.Version, route, load
+	c.Answers++
+	if failed {
+		c.Errors++
+	} else {
+		bucket := 0
+		for bucket < jujubegate.LatencyBuckets-1 && took > Edge(bucket) {
+			bucket++
+		}
+		c.Latency[bucket]++
+	}
+	m[k] = c
+}
+
+func (m model) counts() []jujubegate.RouteCount {
+	list := []jujubegate.RouteCount{}
+	for _, c := range m {
+		list = append(list, c)
+	}
+	slices.SortFunc(list, compareCounts)
+	return list
+}
+
+func (m model) add(counts []jujubegate.RouteCount) {
+	for _, c := range counts {
+		m[KeyOf(c)] = sum(m[KeyOf(c)], c)
+	}
+}
+
+func TestTallyAndFleetModel(t *testing.T) {
+	// Guards against answers that are counted twice or not at all when an
+	// instance restarts or heartbeats get lost, repeated or out of order.
+	rapid.Check(t, func(t *rapid.T) {
+		fleet, all := NewFleet(), model{}
+		tallies, models := make([]*Tally, 2), make([]model, 2)
+		starts, ended := make([]int, 2), make([]model, 2)
+		var past []func()
+		deliver := func(i int) func() {
+			counts, name, incarnation := tallies[i].Counts(), jujubegate.Instance(rune('a'+i)), string(rune('0'+starts[i]))
+			return func() { fleet.Merge(name, incarnation, counts, epoch) }
+		}
+		for i := range tallies {
+			tallies[i], models[i], ended[i] = NewTally(nil), model{}, model{}
+			deliver(i)() // the empty counts to start from
+		}
+		for range rapid.IntRange(1, 60).Draw(t, "actions") {
+			i := rapid.IntRange(0, 1).Draw(t, "instance")
+			switch rapid.IntRange(0, 9).Draw(t, "action") {
+			case 0:
+				deliver(i)()
+				ended[i].add(models[i].counts())
+				starts[i]++
+				tallies[i], models[i] = NewTally(nil), model{}
+			case 1, 2:
+				past = append(past, deliver(i))
+			case 3:
+				if len(past) > 0 {
+					rapid.SampledFrom(past).Draw(t, "late")()
+				}
+			default:
+				target := jujubegate.Target{
+					Service: "Desk", Version: rapid.SampledFrom([]jujubegate.Version{"v1", "v2"}).Draw(t, "version"),
+				}
+				route := rapid.SampledFrom([]jujubegate.Route{"Search", "Book"}).Draw(t, "route")
+				inFlight, failed := rapid.IntRange(1, 3).Draw(t, "inFlight"), rapid.Bool().Draw(t, "failed")
+				took := time.Duration(rapid.Int64Range(0, int64(time.Minute)).Draw(t, "took"))
+				tallies[i].Observe(target, route, inFlight, failed, took, epoch)
+				models[i].observe(target, route, inFlight, failed, took)
+			}
+			if !slices.Equal(tallies[i].Counts(), models[i].counts()) {
+				t.Fatalf("tally %v, model %v", tallies[i].Counts(), models[i].counts())
+			}
+		}
+		for i := range tallies {
+			deliver(i)()
+			all.add(ended[i].counts())
+			all.add(models[i].counts())
+		}
+		if !slices.Equal(fleet.Totals(), all.counts()) && len(all) > 0 {
+			t.Fatalf("fleet %v, model %v", fleet.Totals(), all.counts())
+		}
+	})
+}
+
+func TestColdTargets(t *testing.T) {
+	// Guards against a good version that is taken back because its targets
+	// answer slowly until they are warm, and against slow answers that are
+	// ignored for ever or after a target was warm.
+	Convey("Slow answers count once a target has been warm, and after a minute at the latest", t, func() {
+		warm := map[jujubegate.Address]bool{}
+		tally := NewTally(func(a jujubegate.Address) bool { return warm[a] })
+		steps := []struct {
+			at     time.Duration
+			warm   bool
+			failed bool
+			timed  uint64
+			errors uint64
+		}{
+			{0, false, false, 0, 0},
+			{time.Second, false, true, 0, 1},
+			{2 * time.Second, true, false, 1, 1},
+			{3 * time.Second, false, false, 2, 1},
+		}
+		for _, s := range steps {
+			warm["a"] = s.warm
+			tally.Observe(jujubegate.Target{Address: "a"}, "Search", 1, s.failed, time.Second, epoch.Add(s.at))
+			So(tally.Counts()[0].Errors, ShouldEqual, s.errors)
+			So(tally.Counts()[0].Latency[Bucket(time.Second)], ShouldEqual, s.timed)
+		}
+		late := jujubegate.Target{Address: "b", Version: "v2"}
+		tally.Observe(late, "Search", 1, false, time.Second, epoch)
+		tally.Observe(late, "Search", 1, false, time.Second, epoch.Add(warmUp))
+		So(tally.Counts()[1].Answers, ShouldEqual, 2)
+		So(tally.Counts()[1].Latency[Bucket(time.Second)], ShouldEqual, 1)
+	})
+}
+
+func TestFirstContact(t *testing.T) {
+	// Guards against years of old counts that arrive as one block when an
+	// instance is heard of for the first time.
+	Convey("Counts from before the first contact are no evidence", t, func() {
+		f := NewFleet()
+		f.Merge("a", "1", []jujubegate.RouteCount{{Service: "Desk", Answers: 1000}}, epoch)
+		So(f.Totals(), ShouldBeEmpty)
+		f.Merge("a", "1", []jujubegate.RouteCount{{Service: "Desk", Answers: 1007}}, epoch)
+		So(f.Totals()[0].Answers, ShouldEqual, 7)
+		Convey("A silent process is forgotten and starts again", func() {
+			f.Merge("b", "1", nil, epoch.Add(3*time.Hour))
+			So(len(f.sources), ShouldEqual, 1)
+			f.Merge("a", "1", []jujubegate.RouteCount{{Service: "Desk", Answers: 2000}}, epoch.Add(3*time.Hour))
+			So(f.Totals()[0].Answers, ShouldEqual, 7)
+		})
+	})
+}
+
+func BenchmarkObserve(b *testing.B) {
+	tally := NewTally(func(jujubegate.Address) bool { return true })
+	target := jujubegate.Target{Address: "10.0.0.1:9000", Service: "DispatchDesk", Version: "v2"}
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		tally.Observe(target, "Search", 1+i&1, i&63 == 0, time.Duration(i&1023)*50*time.Microsecond, epoch)
+	}
+}
--- a/mover/forecast.go
+++ b/mover/forecast.go
@@ -94,8 +94,8 @@
 }
 
 // provingLeft extrapolates the time until the version is proved, and whether
-// that can be told. The evidence of a good version grows evenly. Half of the
-// time to the deadline is an upper bound if only answers under load are scarce.
+// that can be told. The evidence of a good version grows evenly. If only answers
+// under load are scarce, the proof ends at relaxedUntil at the latest.
 func provingLeft(now time.Time, m configurator.MoveSpec, j Judgement) (time.Duration, bool) {
 	if m.State != configurator.Proving || j.Verdict.Outcome == Good {
 		return 0, true
@@ -104,12 +104,13 @@
 	if j.Begun.IsZero() || j.Answers == 0 {
 		return 0, false
 	}
-	relaxed := max(relaxedFrom(m).Sub(now), 0)
+	until := m.Started.Add(time.Duration(relaxedUntil * float64(m.Deadline.Sub(m.Started))))
+	relaxed := max(until.Sub(now), 0)
 	if j.Proved <= 0 {
-		return relaxed, j.Relaxed
+		return relaxed, j.OnlyLoad
 	}
 	left := time.Duration(float64(spent) * (1 - j.Proved) / j.Proved)
-	if j.Relaxed {
+	if j.OnlyLoad {
 		left = min(left, relaxed)
 	}
 	return left, true
--- a/mover/mover.go
+++ b/mover/mover.go
@@ -32,6 +32,7 @@
 	Clock         jujubegate.Clock
 	Configuration func() configurator.Configuration
 	// Evidence returns the fleet's cumulative counts, Own those of this instance.
+	// The results are kept and must not change.
 	Evidence func() []jujubegate.RouteCount
 	Own      func() []jujubegate.RouteCount
 	// Reports returns what the owners know about the targets.
@@ -110,15 +111,15 @@
 
 // judge adds the newest counts and stops versions that are bad.
 func (m *Mover) judge(now time.Time, c configurator.Configuration) {
-	counts, own, instances := m.Evidence(), m.Own(), max(m.Instances(), 1)
+	instances := max(m.Instances(), 1)
 	m.mu.Lock()
-	m.fleet.Observe(now, c, counts, FalseAlarms/2)
-	m.own.Observe(now, c, own, FalseAlarms/2/float64(instances))
+	m.fleet.Observe(now, c, m.Evidence, FalseAlarms/2)
+	m.own.Observe(now, c, m.Own, FalseAlarms/2/float64(instances))
 	m.judgements = m.fleet.Judgements()
 	for service, verdict := range m.own.Bad() {
 		// The own evidence is newer by a heartbeat than the fleet's.
 		if j, ok := m.judgements[service]; ok && j.Verdict.Outcome != Bad {
-			j.Verdict, j.Suspicious, j.Relaxed = verdict, true, false
+			j.Verdict, j.Suspicious, j.OnlyLoad = verdict, true, false
 			m.judgements[service] = j
 		}
 	}
--- a/mover/plan.go
+++ b/mover/plan.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"strings"
 	"time"
 	"unicode/utf8"
@@ -23,9 +24,6 @@
 	stepParts   = 50
 	minStepTime = 3 * time.Second
 	maxStepTime = time.Minute
-	// relaxedPart is the part of the time to the deadline after which some
-	// answers under load are enough.
-	relaxedPart = 0.5
 	// WatchAfterDone is how long a version is judged after its move is done.
 	WatchAfterDone = 10 * time.Minute
 )
@@ -104,11 +102,16 @@
 	if m.State != configurator.Proving {
 		return true
 	}
-	return j.Verdict.Outcome == Good || (j.Relaxed && !now.Before(relaxedFrom(m)))
+	return j.Verdict.Outcome == Good || (j.OnlyLoad && j.LoadAnswers >= loadNeeded(now, m))
 }
 
-func relaxedFrom(m configurator.MoveSpec) time.Time {
-	return m.Started.Add(time.Duration(relaxedPart * float64(m.Deadline.Sub(m.Started))))
+// loadNeeded returns the number of answers under load that is enough now.
+func loadNeeded(now time.Time, m configurator.MoveSpec) float64 {
+	part := float64(now.Sub(m.Started)) / float64(m.Deadline.Sub(m.Started))
+	if part < relaxedFrom {
+		return math.Inf(1)
+	}
+	return max(0, relaxedAnswers*(relaxedUntil-part)/(relaxedUntil-relaxedFrom))
 }
 
 // raise returns the statement of the next step, as far as the targets carry it.
--- a/mover/process.go
+++ b/mover/process.go
@@ -12,6 +12,9 @@
 	atOnce = 0.5
 	// probabilityLimit keeps bets on a probability away from 0 and 1.
 	probabilityLimit = 0.98
+	// negligible is the difference of two logarithms from which on the sum is the
+	// larger one within a float64's precision.
+	negligible = 37
 )
 
 // process is a test by betting: an e-process, whose value stays below 1/a at
@@ -73,7 +76,7 @@
 	if a < b {
 		a, b = b, a
 	}
-	if math.IsInf(b, -1) {
+	if a-b > negligible || math.IsInf(b, -1) {
 		return a
 	}
 	return a + math.Log1p(math.Exp(b-a))
--- a/mover/rule.go
+++ b/mover/rule.go
@@ -91,7 +91,10 @@
 	// be judged good before the share is raised beyond the proving share.
 	requiredPart = 0.02
 	// relaxedAnswers is the number of answers that is enough in a cell under load
-	// once half of the time to the deadline has passed, since a small share
-	// produces little load.
+	// once relaxedFrom of the time to the deadline has passed, since a small share
+	// produces little load. It falls to 0 at relaxedUntil: a good version would
+	// miss its deadline for want of load.
 	relaxedAnswers = 100
+	relaxedFrom    = 0.5
+	relaxedUntil   = 0.75
 )
--- a/mover/tracker.go
+++ b/mover/tracker.go
@@ -1,7 +1,6 @@
 package mover
 
 import (
-	"slices"
 	"time"
 
 	"jujubegate.example/jujubegate"
@@ -23,25 +22,30 @@
 	return &Tracker{block: block, trials: make(map[jujubegate.Service]*Trial)}
 }
 
-// Observe takes cumulative counts. What they have grown by since the last block
-// becomes a block, unless that is too short ago. Counts from before the first
-// call are no evidence. A new trial gets the given bound for false alarms.
+// Observe asks for the cumulative counts if a block is due. What they have
+// grown by since the last block becomes the next one; those from before the
+// first trial are no evidence. A new trial gets the given bound for false alarms.
 func (t *Tracker) Observe(
-	now time.Time, c configurator.Configuration, counts []jujubegate.RouteCount, falseAlarms float64,
+	now time.Time, c configurator.Configuration, counts func() []jujubegate.RouteCount, falseAlarms float64,
 ) {
 	t.follow(now, c, falseAlarms)
+	if len(t.trials) == 0 {
+		t.before, t.last = nil, time.Time{}
+		return
+	}
 	if !t.last.IsZero() && now.Sub(t.last) < t.block {
 		return
 	}
-	if !t.last.IsZero() && len(t.trials) > 0 {
-		grown := Difference(t.before, counts)
+	all := counts()
+	if !t.last.IsZero() {
+		grown := Difference(t.before, all)
 		for service, trial := range t.trials {
 			if m, ok := c.Move(service); ok {
 				trial.Add(now, m, grown)
 			}
 		}
 	}
-	t.before, t.last = slices.Clone(counts), now
+	t.before, t.last = all, now
 }
 
 // follow starts and ends trials with the moves.
--- a/mover/trial.go
+++ b/mover/trial.go
@@ -210,10 +210,10 @@
 func (t *Trial) judge() Judgement {
 	j := Judgement{
 		Since: t.since, StepAnswers: t.stepAnswers, Answers: t.answers, Begun: t.begun, Done: t.done,
-		Proved: 1, Relaxed: true,
+		Proved: 1, OnlyLoad: true, LoadAnswers: math.Inf(1),
 	}
 	if t.bad != nil {
-		j.Verdict, j.Suspicious, j.Relaxed = *t.bad, true, false
+		j.Verdict, j.Suspicious, j.OnlyLoad = *t.bad, true, false
 		return j
 	}
 	required := t.required()
@@ -225,7 +225,8 @@
 			proved := min(max(c.good()/t.goodAt, 0), 1)
 			if proved < 1 {
 				good = false
-				j.Relaxed = j.Relaxed && id.load == jujubegate.Loaded && c.answers >= relaxedAnswers
+				j.OnlyLoad = j.OnlyLoad && id.load == jujubegate.Loaded
+				j.LoadAnswers = min(j.LoadAnswers, c.answers)
 			}
 			if proved < j.Proved {
 				j.Proved, j.Verdict = proved, t.verdict(Undecided, id, Kind(k))
@@ -236,7 +237,7 @@
 		j.Verdict = Verdict{Outcome: Good, Answers: t.answers}
 	}
 	if len(required) == 0 {
-		j.Proved, j.Relaxed = 0, false
+		j.Proved, j.OnlyLoad = 0, false
 	}
 	return j
 }
--- a/mover/verdict.go
+++ b/mover/verdict.go
@@ -66,9 +66,10 @@
 	// Suspicious is set while the evidence against the version is too strong to
 	// raise its share.
 	Suspicious bool
-	// Relaxed is set if every cell is good, or under load with some answers and
-	// no sign of a fault.
-	Relaxed bool
+	// OnlyLoad is set if all cells without enough evidence are under load;
+	// LoadAnswers is then the least number of answers of these.
+	OnlyLoad    bool
+	LoadAnswers float64
 	// Since is when the present share was first seen.
 	Since time.Time
 	// StepAnswers is the number of answers of the new version since then, and
