--- a/mover/plan.go
+++ b/mover/plan.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"strings"
 	"time"
 	"unicode/utf8"
@@ -23,9 +24,6 @@
 	stepParts   = 50
 	minStepTime = 3 * time.Second
 	maxStepTime = time.Minute
-	// relaxedPart is the part of the time to the deadline after which some
-	// answers under load are enough.
-	relaxedPart = 0.5
 	// WatchAfterDone is how long a version is judged after its move is done.
 	WatchAfterDone = 10 * time.Minute
 )
@@ -104,11 +102,19 @@
 	if m.State != configurator.Proving {
 		return true
 	}
-	return j.Verdict.Outcome == Good || (j.Relaxed && !now.Before(relaxedFrom(m)))
+	proof, answers := needed(now, m)
+	return j.Verdict.Outcome == Good || (j.ProvedAlone >= proof && j.LoadAnswers >= answers)
 }
 
-func relaxedFrom(m configurator.MoveSpec) time.Time {
-	return m.Started.Add(time.Duration(relaxedPart * float64(m.Deadline.Sub(m.Started))))
+// needed returns how much evidence is enough now instead of a judgement: the
+// part of that for Good without load, and the number of answers under load.
+func needed(now time.Time, m configurator.MoveSpec) (proof, answers float64) {
+	part := float64(now.Sub(m.Started)) / float64(m.Deadline.Sub(m.Started))
+	if part < relaxedFrom {
+		return 1, math.Inf(1)
+	}
+	left := max(0, (relaxedUntil-part)/(relaxedUntil-relaxedFrom))
+	return relaxedProof + (1-relaxedProof)*left, relaxedAnswers * left
 }
 
 // raise returns the statement of the next step, as far as the targets carry it.
