--- a/configurator/race_test.go
+++ b/configurator/race_test.go
@@ -52,6 +52,7 @@
 
 	mutex     sync.Mutex
 	proposals []proposal
+	twins     []proposal
 	loads     []load
 }
 
@@ -90,6 +91,20 @@
 		p := proposal{token: fmt.Sprintf("t-%d-%d", worker, i), start: r.now(), worker: worker}
 		// A second application of the statement would not be refused.
 		text := fmt.Sprintf("Alter Service Desk { Slots = %d; };", 1+(worker*trialProposals+i)%25)
+		var twin sync.WaitGroup
+		if i%10 == 3 {
+			// The client gave up on an instance that still works on the proposal.
+			p.resent = true
+			f := r.followers[random.IntN(len(r.followers))]
+			twin.Go(func() {
+				g, err := f.Submit(context.Background(), Proposal{Statements: text, Author: "ivan", Token: p.token})
+				if err == nil {
+					r.mutex.Lock()
+					defer r.mutex.Unlock()
+					r.twins = append(r.twins, proposal{token: p.token, generation: g})
+				}
+			})
+		}
 		for range 3 {
 			f := r.followers[random.IntN(len(r.followers))]
 			// Half of the proposals end early, often with an unknown outcome.
@@ -106,6 +121,7 @@
 			}
 			p.resent = true
 		}
+		twin.Wait()
 		p.end = r.now()
 		r.mutex.Lock()
 		r.proposals = append(r.proposals, p)
@@ -210,6 +226,11 @@
 // checkLog compares what proposers were told with the log.
 func (r *trial) checkLog(log map[string]jujubegate.Generation) {
 	ends := map[string]int{}
+	for _, p := range r.twins {
+		if log[p.token] != p.generation {
+			r.t.Errorf("%s was accepted twice, as generation %d and %d", p.token, p.generation, log[p.token])
+		}
+	}
 	for _, p := range r.proposals {
 		stored, found := log[p.token]
 		var conflict *ConflictError
--- a/parser/parse.go
+++ b/parser/parse.go
@@ -132,7 +132,11 @@
 		return nil, jujubegate.Findings{finding(h.Pos, unknownStatement(h.Verb, h.Kind))}
 	}
 	s := maker()
-	s.place(position(h.Pos))
+	var namePosition jujubegate.Position
+	if h.Name != nil {
+		namePosition = position(h.Name.Pos)
+	}
+	s.place(position(h.Pos), namePosition)
 	shape := s.shape()
 	findings := checkName(h, shape)
 	if show, ok := s.(*Show); ok {
--- a/parser/parse_test.go
+++ b/parser/parse_test.go
@@ -48,6 +48,8 @@
 		So(findings, ShouldBeEmpty)
 		So(Join(statements), ShouldEqual, sample)
 		So(statements[3].Position(), ShouldResemble, jujubegate.Position{File: "sample", Line: 4, Column: 1})
+		So(statements[3].NamePosition(), ShouldResemble, jujubegate.Position{File: "sample", Line: 4, Column: 13})
+		So(statements[19].NamePosition(), ShouldResemble, jujubegate.Position{})
 	})
 }
 
--- a/parser/statement.go
+++ b/parser/statement.go
@@ -10,22 +10,29 @@
 type Statement interface {
 	// Position returns the place of the first word.
 	Position() jujubegate.Position
+	// NamePosition returns the place of the name, or the zero position if the
+	// statement has none.
+	NamePosition() jujubegate.Position
 	// String returns the statement in canonical form on one line.
 	String() string
 
 	shape() shape
-	place(at jujubegate.Position)
+	place(at, name jujubegate.Position)
 }
 
 // node holds the place of a statement.
 type node struct {
-	position jujubegate.Position
+	position     jujubegate.Position
+	namePosition jujubegate.Position
 }
 
 // Position returns the place of the first word of the statement.
 func (n *node) Position() jujubegate.Position { return n.position }
 
-func (n *node) place(at jujubegate.Position) { n.position = at }
+// NamePosition returns the place of the name of the statement.
+func (n *node) NamePosition() jujubegate.Position { return n.namePosition }
+
+func (n *node) place(at, name jujubegate.Position) { n.position, n.namePosition = at, name }
 
 // shape is the words, the name and the fields of a statement.
 type shape struct {
