Run version moves in the daemon and measure them over processes

Cause: verdicts and the mover existed, but no instance counted evidence, stopped a bad version or submitted the next step. Change: the dispatcher reports the end of each request, instances exchange counts and halts in heartbeats, the querier and the dispatcher leave out halted versions, a query on a stopped version runs again on the old one, and the reachable member with the lowest hash submits the steps.

--- a/assembler/configuration.go
+++ b/assembler/configuration.go
@@ -34,6 +34,23 @@
 // members with the lowest hash do, and so does an instance that hears no
 // majority, as no peer will tell it of changes.
 func (d *Daemon) watches() bool {
+	reachable := d.reachableMembers()
+	if len(reachable) < d.leaser.View().Majority() || len(reachable) <= watchers {
+		return true
+	}
+	return slices.ContainsFunc(reachable[:watchers], func(m leaser.Member) bool { return m.ID() == d.self.ID() })
+}
+
+// firstMember reports whether this instance is the one that acts for all, so
+// that others don't compete for the same write.
+func (d *Daemon) firstMember() bool {
+	reachable := d.reachableMembers()
+	return reachable[0].ID() == d.self.ID()
+}
+
+// reachableMembers returns this instance and the members that answered
+// recently, by the hash of their names.
+func (d *Daemon) reachableMembers() []leaser.Member {
 	s := d.leaser.State()
 	now := d.clock.Now()
 	reachable := []leaser.Member{d.self}
@@ -42,24 +59,16 @@
 			reachable = append(reachable, m)
 		}
 	}
-	if len(reachable) < s.View.Majority() || len(reachable) <= watchers {
-		return true
-	}
 	slices.SortFunc(reachable, func(a, b leaser.Member) int {
 		return cmp.Compare(xxhash.Sum64String(string(a.Instance)), xxhash.Sum64String(string(b.Instance)))
 	})
-	return slices.ContainsFunc(reachable[:watchers], func(m leaser.Member) bool { return m.ID() == d.self.ID() })
+	return reachable
 }
 
 // changed puts new generations in force here and pushes them to some peers.
 func (d *Daemon) changed(changes []configurator.Change) {
-	c := d.follower.Current()
-	d.ownership.SetTargets(c.Generation(), c.Targets())
+	d.adoptConfiguration()
 	d.upkeep.request()
-	d.reports.keep(func(a jujubegate.Address) bool {
-		_, ok := c.Target(a)
-		return ok
-	})
 	peers := d.reachablePeers()
 	d.random.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
 	for _, peer := range peers[:min(pushFanOut, len(peers))] {
@@ -73,6 +82,20 @@
 	}
 }
 
+// adoptConfiguration makes the ownership follow the newest generation. The
+// follower tells of single changes, but not of a loaded snapshot.
+func (d *Daemon) adoptConfiguration() {
+	c := d.follower.Current()
+	if c.Generation() <= d.ownership.Generation() {
+		return
+	}
+	d.ownership.SetTargets(c.Generation(), c.Targets())
+	d.reports.keep(func(a jujubegate.Address) bool {
+		_, ok := c.Target(a)
+		return ok
+	})
+}
+
 func (d *Daemon) reachablePeers() []leaser.Member {
 	now := d.clock.Now()
 	var members []leaser.Member
--- a/assembler/daemon.go
+++ b/assembler/daemon.go
@@ -26,6 +26,7 @@
 	"jujubegate.example/jujubegate/leaser"
 	"jujubegate.example/jujubegate/lister"
 	"jujubegate.example/jujubegate/loader"
+	"jujubegate.example/jujubegate/mover"
 	"jujubegate.example/jujubegate/orderer"
 	"jujubegate.example/jujubegate/querier"
 	"jujubegate.example/jujubegate/recorder"
@@ -65,6 +66,10 @@
 	advertiser *advertiser.Advertiser
 	reports    *reportBook
 	peers      *peerBook
+	tally      *mover.Tally
+	evidence   *mover.Fleet
+	halts      *mover.Halts
+	mover      *mover.Mover
 	client     *transporter.Client
 	handler    *transporter.Handler
 	server     *server.Server
@@ -91,6 +96,8 @@
 		PeerAddress:   settings.PeerAddress,
 		CallerAddress: settings.CallerAddress,
 	}
+	d.halts, d.evidence = mover.NewHalts(), mover.NewFleet()
+	d.tally = mover.NewTally(d.warm)
 	d.random = newLockedRand(rand.Uint64(), rand.Uint64())
 	d.recorder = recorder.New(logger, settings.FatalChecks)
 	if err := d.connectPlatform(); err != nil {
@@ -99,6 +106,7 @@
 	d.connectControl()
 	d.connectOwner()
 	d.connectEntry()
+	d.connectMover()
 	d.connectServers()
 	d.publishGauges()
 	return d, nil
@@ -126,6 +134,7 @@
 func (d *Daemon) connectControl() {
 	d.client = transporter.NewClient(d.clock)
 	d.client.Observed = d.observe
+	d.client.Halts = d.halts.List
 	d.follower = configurator.New(d.store.Store, d.clock, d.logger)
 	d.follower.Watcher = d.watches
 	d.follower.OnChange = d.changed
@@ -160,7 +169,8 @@
 	d.upkeep = newUpkeep()
 	d.dispatcher = dispatcher.New(dispatcher.Settings{
 		MaySend:   d.ownership.MaySend,
-		Allowed:   func(t jujubegate.Target) bool { return d.follower.Current().Allows(t) },
+		Allowed:   d.allows,
+		Finished:  d.finished,
 		Violation: d.violation,
 		Clock:     d.clock,
 		Log:       d.logger,
@@ -173,6 +183,7 @@
 	q.Serving = d.serving
 	q.Owner = d.owner
 	q.Reports = d.report
+	q.Halted = d.halts.Halted
 	q.Dispatch = d.dispatch
 	q.Cancel = d.cancel
 	q.Violation = d.violation
@@ -190,7 +201,9 @@
 		reports, next := d.dispatcher.ReportsSince(dispatcher.Mark(mark))
 		return reports, uint64(next)
 	}
-	d.handler.Counts = func() []jujubegate.RouteCount { return nil }
+	d.handler.Counts = d.movingCounts
+	d.handler.Halts = d.halts.List
+	d.handler.TakeHalts = d.halts.Merge
 	d.handler.Changes = d.follower.After
 	d.handler.Offer = d.offer
 	d.handler.TellStatus = d.status
@@ -254,6 +267,7 @@
 	group.Go(func() error { d.orderer.Run(groupContext); return nil })
 	group.Go(func() error { d.configure(groupContext); return nil })
 	group.Go(func() error { d.keepUp(groupContext); return nil })
+	group.Go(func() error { d.mover.Run(groupContext); return nil })
 	group.Go(func() error {
 		select {
 		case <-ctx.Done():
--- /dev/null
+++ b/assembler/move.go
@@ -0,0 +1,50 @@
+package assembler
+
+import (
+	"context"
+	"time"
+
+	"jujubegate.example/jujubegate"
+	"jujubegate.example/jujubegate/mover"
+)
+
+// connectMover sets up the judgement of version moves.
+func (d *Daemon) connectMover() {
+	d.mover = mover.New(d.clock, d.follower.Current, d.evidence.Totals, d.movingCounts, d.reports.all, d.submitMove, d.halts)
+	d.mover.Instances = func() int { return len(d.leaser.View().Members) }
+	d.mover.Acts = func() bool { return d.serving(d.clock.Now()) && d.firstMember() }
+	d.mover.Author = string(d.self.Instance)
+	d.mover.Log = d.logger
+}
+
+func (d *Daemon) submitMove(ctx context.Context, text, author string) error {
+	_, err := d.follower.Propose(ctx, text, author)
+	return err
+}
+
+// allows reports whether a target may receive new work.
+func (d *Daemon) allows(t jujubegate.Target) bool {
+	return d.follower.Current().Allows(t) && !d.halts.Halted(t.Service, t.Version)
+}
+
+// finished counts the end of a request for the judgement of its version.
+func (d *Daemon) finished(t jujubegate.Target, route jujubegate.Route, running int, failed bool, took time.Duration) {
+	d.tally.Observe(t, route, running, failed, took, d.clock.Now())
+}
+
+// warm reports whether a target of this instance is warm. Cold ones are slow
+// whatever their version.
+func (d *Daemon) warm(target jujubegate.Address) bool {
+	report, ok := d.reports.get(d.self.ID(), target)
+	return ok && report.State == jujubegate.Warm
+}
+
+// movingCounts returns this instance's counts of services that have a move,
+// running or ended: late faults show after the end.
+func (d *Daemon) movingCounts() []jujubegate.RouteCount {
+	c := d.follower.Current()
+	return d.tally.CountsOf(func(service jujubegate.Service) bool {
+		_, ok := c.Move(service)
+		return ok
+	})
+}
--- a/assembler/reportbook.go
+++ b/assembler/reportbook.go
@@ -58,6 +58,17 @@
 	return known.report, true
 }
 
+// all returns all reports.
+func (b *reportBook) all() []jujubegate.TargetReport {
+	b.mu.RLock()
+	defer b.mu.RUnlock()
+	reports := make([]jujubegate.TargetReport, 0, len(b.reports))
+	for _, known := range b.reports {
+		reports = append(reports, known.report)
+	}
+	return reports
+}
+
 // forget drops the report of a target, if the author gave it.
 func (b *reportBook) forget(author leaser.ID, target jujubegate.Address) {
 	b.mu.Lock()
--- a/assembler/route.go
+++ b/assembler/route.go
@@ -6,6 +6,7 @@
 
 	"jujubegate.example/jujubegate"
 	"jujubegate.example/jujubegate/leaser"
+	"jujubegate.example/jujubegate/transporter"
 )
 
 // owner returns the instance that owns the target, if it can be reached.
@@ -62,9 +63,11 @@
 	return d.reports.get(owner.ID(), target)
 }
 
-// observe takes the reports of a peer about its targets.
-func (d *Daemon) observe(peer leaser.Member, reports []jujubegate.TargetReport, _ []jujubegate.RouteCount) {
-	d.reports.put(peer.ID(), reports)
+// observe takes what a peer says about its targets and their versions.
+func (d *Daemon) observe(o transporter.Observation) {
+	d.reports.put(o.Peer.ID(), o.Reports)
+	d.evidence.Merge(o.Peer.Instance, o.Peer.Incarnation, o.Counts, d.clock.Now())
+	d.halts.Merge(o.Halts)
 }
 
 // keepUp updates the dispatcher's targets and this instance's own reports. It
@@ -74,11 +77,13 @@
 	for ctx.Err() == nil {
 		// The view is read first: the targets follow from it or a later one.
 		epoch := d.leaser.View().Epoch
+		d.adoptConfiguration()
 		d.updateTargets(d.clock.Now())
 		if d.dispatcher.Retired() == 0 {
 			d.leaser.Release(epoch)
 		}
 		d.reports.replace(d.self.ID(), d.dispatcher.Reports())
+		d.evidence.Merge(d.self.Instance, d.self.Incarnation, d.movingCounts(), d.clock.Now())
 		d.upkeep.wait(ctx, d.clock)
 	}
 }
--- a/assembler/status.go
+++ b/assembler/status.go
@@ -16,6 +16,10 @@
 	"jujubegate.example/jujubegate/transporter"
 )
 
+// statementTimeout bounds one run of statements, below the time for which
+// jujubectl waits for an answer.
+const statementTimeout = 10 * time.Second
+
 func (d *Daemon) status() transporter.Status {
 	s := d.leaser.State()
 	return transporter.Status{
@@ -28,6 +32,8 @@
 }
 
 func (d *Daemon) statements(ctx context.Context, request commander.Request) (int, commander.Response) {
+	ctx, cancel := context.WithTimeout(ctx, statementTimeout)
+	defer cancel()
 	return commander.Answer(ctx, d.follower, request, func() [][]string { return d.instanceRows(ctx) })
 }
 
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -67,6 +67,11 @@
 	Open func(target jujubegate.Target, connections int, events Events) Link
 	// Count adds to a counter; nil ignores it.
 	Count func(name string, delta int64)
+	// Finished takes the end of a request that reached its target: the number
+	// that ran there when it started, itself included, whether it failed, and
+	// its service time. The time of a cancelled one is a lower bound; nil
+	// ignores all.
+	Finished func(target jujubegate.Target, route jujubegate.Route, running int, failed bool, took time.Duration)
 	// Violation reports a broken invariant; nil ignores it.
 	Violation func(name, detail string)
 	Clock     jujubegate.Clock
@@ -102,6 +107,9 @@
 	if settings.Count == nil {
 		settings.Count = func(string, int64) {}
 	}
+	if settings.Finished == nil {
+		settings.Finished = func(jujubegate.Target, jujubegate.Route, int, bool, time.Duration) {}
+	}
 	if settings.Open == nil {
 		settings.Open = func(t jujubegate.Target, connections int, e Events) Link {
 			return dialTarget(t, connections, e, settings.Clock)
--- a/dispatcher/task.go
+++ b/dispatcher/task.go
@@ -30,6 +30,8 @@
 	state  taskState
 	queued scheduler.Ticket
 	ticket limiter.Ticket
+	// running is the number of requests at the target when this one started.
+	running int
 	// ctx is that of the running request; cancel ends it with a cause.
 	ctx    context.Context
 	cancel context.CancelCauseFunc
@@ -106,7 +108,7 @@
 		return
 	}
 	t.ctx, t.cancel = context.WithCancelCause(context.Background())
-	t.state, t.ticket = taskRunning, ticket
+	t.state, t.ticket, t.running = taskRunning, ticket, l.limiter.InFlight(now)
 	go t.send(t.ctx)
 }
 
@@ -131,8 +133,11 @@
 	t.state = taskDone
 	l.conclude(t, result, now)
 	l.pump(now)
-	given := t.given
+	given, target := t.given, l.target
 	l.mu.Unlock()
+	if failed, counts := evidence(result); counts {
+		d.settings.Finished(target, b.Route, t.running, failed, result.ServiceTime)
+	}
 	if given {
 		return
 	}
@@ -269,3 +274,20 @@
 		}
 	}()
 }
+
+// evidence reports whether a request failed by a fault of its target, and
+// whether its end says anything about the target's version at all.
+func evidence(result dialer.Result) (failed, counts bool) {
+	r := result.Refusal
+	switch {
+	case r == nil:
+		return false, true
+	case r.Reason == jujubegate.TargetError, r.Reason == jujubegate.BadAnswer:
+		return true, true
+	case r.Reason == jujubegate.TargetDown, r.Reason == jujubegate.DeadlinePassed:
+		return true, r.Outcome != jujubegate.NotRun
+	case r.Reason == jujubegate.Cancelled:
+		return false, r.Outcome != jujubegate.NotRun
+	}
+	return false, false
+}
--- a/launcher/fleet.go
+++ b/launcher/fleet.go
@@ -4,12 +4,14 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"slices"
 	"strings"
 	"time"
 
 	"github.com/samber/oops"
 
 	"jujubegate.example/jujubegate"
+	"jujubegate.example/jujubegate/commander"
 	"jujubegate.example/jujubegate/standin/target"
 )
 
@@ -106,14 +108,42 @@
 	if err != nil {
 		return oops.In("launcher").Wrap(err)
 	}
-	path, err := f.launcher.Write("targets.json", string(spec))
+	return f.startTargetProcess("targets", string(spec))
+}
+
+func (f *Fleet) startTargetProcess(name, spec string) error {
+	path, err := f.launcher.Write(name+".json", spec)
 	if err != nil {
 		return err
 	}
-	_, err = f.launcher.Start("targets", "targetstandin", "--spec", path)
+	_, err = f.launcher.Start(name, "targetstandin", "--spec", path)
 	return err
 }
 
+// StartVersion starts and declares targets of another version, one beside each
+// target of the fleet, with the faults.
+func (f *Fleet) StartVersion(ctx context.Context, version string, faults []target.Fault) error {
+	addresses, err := FreeAddresses(len(f.Targets))
+	if err != nil {
+		return err
+	}
+	added := slices.Clone(f.Targets)
+	var statements strings.Builder
+	for i := range added {
+		added[i].Address, added[i].Version, added[i].Faults = addresses[i], version, faults
+		added[i].Seed += uint64(len(added))
+		statements.WriteString(declareTarget(added[i]))
+	}
+	spec, err := json.Marshal(added)
+	if err != nil {
+		return oops.In("launcher").Wrap(err)
+	}
+	if err := f.startTargetProcess("targets-"+version, string(spec)); err != nil {
+		return err
+	}
+	return f.Statement(ctx, statements.String())
+}
+
 const settingsFormat = `Instance = %q
 DataCentre = %q
 PeerAddress = %q
@@ -159,12 +189,16 @@
 	fmt.Fprintf(&text, "Declare Route %s.Search { Idempotent = true; };\n", s.Service())
 	fmt.Fprintf(&text, "Declare Route %s.Book { Idempotent = false; };\n", s.Service())
 	for _, t := range f.Targets {
-		fmt.Fprintf(&text, "Declare Target %q { Service = %s; Shard = %d; DataCentre = %s; Version = %s; };\n",
-			t.Address, t.Service, t.Shard, t.DataCentre, t.Version)
+		text.WriteString(declareTarget(t))
 	}
 	return text.String()
 }
 
+func declareTarget(t target.Settings) string {
+	return fmt.Sprintf("Declare Target %q { Service = %s; Shard = %d; DataCentre = %s; Version = %s; };\n",
+		t.Address, t.Service, t.Shard, t.DataCentre, t.Version)
+}
+
 // Statement runs statements by jujubectl and waits until they are in force.
 func (f *Fleet) Statement(ctx context.Context, text string) error {
 	path, err := f.launcher.Write("statements.jgs", text)
@@ -179,6 +213,26 @@
 	return err
 }
 
+// Show returns the rows of a Show statement, as maps from column to value.
+func (f *Fleet) Show(ctx context.Context, statement string) ([]map[string]string, error) {
+	request := commander.Request{Statements: statement, Author: "launcher"}
+	var response commander.Response
+	if err := sendJSON(ctx, "POST", "http://"+f.Callers[0]+commander.StatementsPath, request, &response); err != nil {
+		return nil, err
+	}
+	var rows []map[string]string
+	for _, result := range response.Results {
+		for _, values := range result.Rows {
+			row := make(map[string]string, len(values))
+			for i, value := range values {
+				row[result.Columns[i]] = value
+			}
+			rows = append(rows, row)
+		}
+	}
+	return rows, nil
+}
+
 // Control changes a target.
 func (f *Fleet) Control(ctx context.Context, index int, control target.Control) error {
 	return sendJSON(ctx, "PUT", "http://"+f.Targets[index].Address+"/control", control, nil)
--- a/measurer/query.go
+++ b/measurer/query.go
@@ -17,6 +17,7 @@
 	{"Overload", overload},
 	{"Cold", cold},
 	{"DataCentre", dataCentre},
+	{"Version", versions},
 	{"Processor", processor},
 }
 
--- a/querier/choose.go
+++ b/querier/choose.go
@@ -20,9 +20,10 @@
 		r.refresh(shard)
 	}
 	choice, ok := r.newest(noSnapshot)
+	r.moving, r.fallback = moving, fallback
 	if moving && !choice.Complete {
 		// The new version can't cover the query yet; the old one serves it.
-		r.versions = fallback
+		r.versions, r.moving = fallback, false
 		choice, ok = r.newest(noSnapshot)
 	}
 	if !ok || (!choice.Complete && !r.request.AllowPartial) {
@@ -60,6 +61,9 @@
 		if r.current.generation != r.service.generation && !r.current.serves(r.request.Service, shard, candidates[i].address) {
 			continue
 		}
+		if r.q.Halted(r.request.Service, candidates[i].version) {
+			continue
+		}
 		owner, ok := r.q.Owner(candidates[i].address)
 		if !ok {
 			continue
--- a/querier/handle.go
+++ b/querier/handle.go
@@ -165,7 +165,8 @@
 	if a.hedge {
 		s.hedgeFailed = true
 	}
-	if refusal.Reason == jujubegate.SnapshotNotHeld {
+	stopped := refusal.Reason == jujubegate.OutOfService && r.moving
+	if refusal.Reason == jujubegate.SnapshotNotHeld || stopped {
 		s.lost = true
 	}
 	if s.outstanding > 0 {
--- a/querier/querier.go
+++ b/querier/querier.go
@@ -83,6 +83,8 @@
 	Owner func(jujubegate.Address) (leaser.Member, bool)
 	// Reports returns the owner's latest report of a target.
 	Reports func(jujubegate.Address) (jujubegate.TargetReport, bool)
+	// Halted reports whether a version must not receive new work.
+	Halted func(jujubegate.Service, jujubegate.Version) bool
 	// Observed takes the reports that arrive with results.
 	Observed func([]jujubegate.TargetReport)
 	Dispatch Dispatch
@@ -120,6 +122,7 @@
 		Reports: func(jujubegate.Address) (jujubegate.TargetReport, bool) {
 			return jujubegate.TargetReport{}, false
 		},
+		Halted:    func(jujubegate.Service, jujubegate.Version) bool { return false },
 		Observed:  func([]jujubegate.TargetReport) {},
 		Cancel:    func(leaser.Member, string, []jujubegate.SubRequest) {},
 		Violation: func(string, string) {},
--- a/querier/rerun.go
+++ b/querier/rerun.go
@@ -13,7 +13,11 @@
 	for shard := range r.shards {
 		r.refresh(shard)
 	}
-	choice, ok := r.newest(r.snapshot)
+	after := r.snapshot
+	if r.moving {
+		r.versions, r.moving, after = r.fallback, false, noSnapshot
+	}
+	choice, ok := r.newest(after)
 	if !ok || !choice.Complete || !r.q.Hedger.Borrow(now, len(r.shards)) {
 		return
 	}
--- a/querier/run.go
+++ b/querier/run.go
@@ -31,6 +31,10 @@
 	hedgeDelay time.Duration
 
 	versions versions
+	// fallback serves if the query uses the new version of a move, which
+	// moving says, and that version is stopped meanwhile.
+	fallback versions
+	moving   bool
 	snapshot jujubegate.Snapshot
 	merger   merger.Merger
 	chooser  merger.Chooser
--- a/transporter/client.go
+++ b/transporter/client.go
@@ -11,6 +11,7 @@
 
 	"jujubegate.example/jujubegate"
 	"jujubegate.example/jujubegate/leaser"
+	"jujubegate.example/jujubegate/mover"
 	"jujubegate.example/jujubegate/wire"
 	"jujubegate.example/jujubegate/wire/wireconnect"
 )
@@ -25,9 +26,10 @@
 
 // Client calls the Peer service of other instances.
 type Client struct {
-	// Observed takes what a heartbeat answer says about the peer's targets and
-	// answers.
-	Observed func(peer leaser.Member, reports []jujubegate.TargetReport, counts []jujubegate.RouteCount)
+	// Observed takes what the answer to a heartbeat says besides the membership.
+	Observed func(Observation)
+	// Halts returns the halts that heartbeats carry.
+	Halts func() []mover.Halt
 
 	http  *http.Client
 	clock jujubegate.Clock
@@ -47,7 +49,8 @@
 		HTTP2:              &http.HTTP2Config{SendPingTimeout: pingAfter, PingTimeout: pingAfter},
 	}
 	return &Client{
-		Observed: func(leaser.Member, []jujubegate.TargetReport, []jujubegate.RouteCount) {},
+		Observed: func(Observation) {},
+		Halts:    func() []mover.Halt { return nil },
 
 		http:  &http.Client{Transport: transport},
 		clock: clock,
--- a/transporter/handler.go
+++ b/transporter/handler.go
@@ -12,6 +12,7 @@
 	"jujubegate.example/jujubegate"
 	"jujubegate.example/jujubegate/configurator"
 	"jujubegate.example/jujubegate/leaser"
+	"jujubegate.example/jujubegate/mover"
 	"jujubegate.example/jujubegate/wire"
 	"jujubegate.example/jujubegate/wire/wireconnect"
 )
@@ -24,6 +25,8 @@
 	CancelRun    func(queryID string, subRequests []jujubegate.SubRequest)
 	ReportsSince func(mark uint64) ([]jujubegate.TargetReport, uint64)
 	Counts       func() []jujubegate.RouteCount
+	Halts        func() []mover.Halt
+	TakeHalts    func([]mover.Halt)
 	Changes      func(after jujubegate.Generation) []configurator.Change
 	Offer        func([]configurator.Change) jujubegate.Generation
 	TellStatus   func() Status
--- a/transporter/heartbeat.go
+++ b/transporter/heartbeat.go
@@ -9,6 +9,7 @@
 
 	"jujubegate.example/jujubegate"
 	"jujubegate.example/jujubegate/leaser"
+	"jujubegate.example/jujubegate/mover"
 	"jujubegate.example/jujubegate/wire"
 )
 
@@ -38,8 +39,15 @@
 	m.marks[instance] = value
 }
 
-// Heartbeat sends a heartbeat and passes the target reports in the answer to
-// Observed.
+// Observation is what the answer to a heartbeat says besides the membership.
+type Observation struct {
+	Peer    leaser.Member
+	Reports []jujubegate.TargetReport
+	Counts  []jujubegate.RouteCount
+	Halts   []mover.Halt
+}
+
+// Heartbeat sends a heartbeat and passes the rest of the answer to Observed.
 func (c *Client) Heartbeat(ctx context.Context, to leaser.Member, r leaser.HeartbeatRequest) (leaser.HeartbeatAnswer, error) {
 	known := c.marks.get(to.Instance)
 	request := &wire.HeartbeatRequest{
@@ -51,6 +59,7 @@
 		Released:           int64(r.Released),
 		ReportsAfter:       known.reports,
 		ReportsIncarnation: known.incarnation,
+		Halts:              encodeHalts(c.Halts()),
 	}
 	response, err := c.peer(to.PeerAddress).Heartbeat(ctx, connect.NewRequest(request))
 	if err != nil {
@@ -58,7 +67,12 @@
 	}
 	answer := response.Msg
 	receiver := decodeMember(answer.GetReceiver())
-	c.Observed(receiver, decodeReports(answer.GetReports()), decodeCounts(answer.GetCounts()))
+	c.Observed(Observation{
+		Peer:    receiver,
+		Reports: decodeReports(answer.GetReports()),
+		Counts:  decodeCounts(answer.GetCounts()),
+		Halts:   decodeHalts(answer.GetHalts()),
+	})
 	c.marks.set(receiver.Instance, mark{receiver.Incarnation, answer.GetReportsMark()})
 	return leaser.HeartbeatAnswer{
 		Receiver:   receiver,
@@ -82,6 +96,7 @@
 		Settled:    jujubegate.Epoch(r.GetSettled()),
 		Released:   jujubegate.Epoch(r.GetReleased()),
 	})
+	h.TakeHalts(decodeHalts(r.GetHalts()))
 	after := r.GetReportsAfter()
 	if r.GetReportsIncarnation() != a.Receiver.Incarnation {
 		after = 0
@@ -98,6 +113,7 @@
 		Reports:     encodeReports(reports),
 		ReportsMark: next,
 		Counts:      encodeCounts(h.Counts()),
+		Halts:       encodeHalts(h.Halts()),
 	}), nil
 }
 
@@ -166,33 +182,3 @@
 	}
 	return decoded
 }
-
-func encodeCounts(counts []jujubegate.RouteCount) []*wire.RouteCount {
-	encoded := make([]*wire.RouteCount, len(counts))
-	for i, c := range counts {
-		encoded[i] = &wire.RouteCount{
-			Service: string(c.Service),
-			Version: string(c.Version),
-			Route:   string(c.Route),
-			Answers: c.Answers,
-			Errors:  c.Errors,
-			Slow:    c.Slow,
-		}
-	}
-	return encoded
-}
-
-func decodeCounts(counts []*wire.RouteCount) []jujubegate.RouteCount {
-	decoded := make([]jujubegate.RouteCount, len(counts))
-	for i, c := range counts {
-		decoded[i] = jujubegate.RouteCount{
-			Service: jujubegate.Service(c.GetService()),
-			Version: jujubegate.Version(c.GetVersion()),
-			Route:   jujubegate.Route(c.GetRoute()),
-			Answers: c.GetAnswers(),
-			Errors:  c.GetErrors(),
-			Slow:    c.GetSlow(),
-		}
-	}
-	return decoded
-}
--- a/transporter/transporter_test.go
+++ b/transporter/transporter_test.go
@@ -13,6 +13,7 @@
 	"jujubegate.example/jujubegate"
 	"jujubegate.example/jujubegate/configurator"
 	"jujubegate.example/jujubegate/leaser"
+	"jujubegate.example/jujubegate/mover"
 )
 
 // startPeer serves a handler on a loopback port and returns the member.
@@ -134,18 +135,28 @@
 			received = r
 			return answer
 		}
-		handler.Counts = func() []jujubegate.RouteCount { return nil }
+		counts := []jujubegate.RouteCount{{
+			Service: "DispatchDesk", Version: "v2", Route: "Search", Load: jujubegate.Loaded, Answers: 3, Errors: 1,
+			Latency: [jujubegate.LatencyBuckets]uint64{4: 2},
+		}}
+		halts := []mover.Halt{{Service: "DispatchDesk", Version: "v2", Started: time.UnixMicro(5).UTC(), Reason: "errors"}}
+		handler.Counts = func() []jujubegate.RouteCount { return counts }
+		handler.Halts = func() []mover.Halt { return halts }
+		var taken []mover.Halt
+		handler.TakeHalts = func(h []mover.Halt) { taken = h }
+		client.Halts = func() []mover.Halt { return halts }
 		handler.ReportsSince = func(mark uint64) ([]jujubegate.TargetReport, uint64) {
 			marks = append(marks, mark)
 			return reports, 8
 		}
-		var observed []jujubegate.TargetReport
-		client.Observed = func(_ leaser.Member, r []jujubegate.TargetReport, _ []jujubegate.RouteCount) { observed = r }
+		var observed Observation
+		client.Observed = func(o Observation) { observed = o }
 		got, err := client.Heartbeat(t.Context(), owner, sent)
 		So(err, ShouldBeNil)
 		So(received, ShouldResemble, sent)
 		So(got, ShouldResemble, answer)
-		So(observed, ShouldResemble, reports)
+		So(observed, ShouldResemble, Observation{Peer: owner, Reports: reports, Counts: counts, Halts: halts})
+		So(taken, ShouldResemble, halts)
 
 		_, err = client.Heartbeat(t.Context(), owner, sent)
 		So(err, ShouldBeNil)
