Keep each share for its least time and halt apart from the store

Cause: a test of the loop showed the next share 200 ms after the last one, because the judgement of the step before was still in use until the next block; a raise must wait at least StepTime. A slow store delayed the halt of a bad version, since judging and submitting shared one loop. Change: a judgement names the move that it judged, and one of another share, state or start decides nothing; trials follow the move on every tick. Judging and submitting have their own loops.

--- a/mover/forecast.go
+++ b/mover/forecast.go
@@ -59,7 +59,7 @@
 	if !now.Before(m.Deadline) {
 		return Forecast{Prospect: Late, Reason: "the deadline has passed"}
 	}
-	j := e.Judgements[m.Service]
+	j, _ := e.of(m)
 	if j.Verdict.Outcome == Bad {
 		return Forecast{Prospect: Late, Reason: "the version is to be taken back"}
 	}
--- a/mover/mover.go
+++ b/mover/mover.go
@@ -20,9 +20,9 @@
 	// refusedPause is how long a statement that was refused for another reason
 	// than a conflict or the store is not submitted again.
 	refusedPause = 5 * time.Second
-	// submitTimeout bounds one proposal, so that a slow store does not keep the
-	// instance from judging the next blocks for long.
-	submitTimeout = 2 * time.Second
+	// submitTimeout bounds one proposal, so that the next decision rests on
+	// newer evidence.
+	submitTimeout = 5 * time.Second
 )
 
 // Mover judges the running moves, stops bad versions at this instance, and
@@ -49,9 +49,10 @@
 	Author string
 
 	mu sync.Mutex
-	// fleet and own are guarded by mu, like the tables of the last tick.
+	// fleet, own and judgements are guarded by mu.
 	fleet, own *Tracker
 	judgements map[jujubegate.Service]Judgement
+	// The fields below belong to the loop that submits.
 	// logged holds the last line per service, so that each decision is logged once.
 	logged map[jujubegate.Service]string
 	// refused holds when a kind of statement was refused last.
@@ -74,22 +75,34 @@
 	}
 }
 
-// Run decides on every tick until the context ends.
+// Run judges and decides on every tick until the context ends. Both have their
+// own loop, so that a slow store does not delay the halt of a bad version.
 func (m *Mover) Run(ctx context.Context) {
-	for {
-		m.Step(ctx)
+	var judging sync.WaitGroup
+	judging.Go(func() { m.every(ctx, func() { m.judge() }) })
+	m.every(ctx, func() { m.act(ctx) })
+	judging.Wait()
+}
+
+func (m *Mover) every(ctx context.Context, do func()) {
+	for ctx.Err() == nil {
+		do()
 		select {
 		case <-ctx.Done():
-			return
 		case <-m.Clock.After(Tick):
 		}
 	}
 }
 
-// Step makes one decision.
+// Step judges and decides once.
 func (m *Mover) Step(ctx context.Context) {
+	m.judge()
+	m.act(ctx)
+}
+
+// act submits the next statements.
+func (m *Mover) act(ctx context.Context) {
 	now, c := m.Clock.Now(), m.Configuration()
-	m.judge(now, c)
 	if !m.Acts() {
 		return
 	}
@@ -110,7 +123,8 @@
 }
 
 // judge adds the newest counts and stops versions that are bad.
-func (m *Mover) judge(now time.Time, c configurator.Configuration) {
+func (m *Mover) judge() {
+	now, c := m.Clock.Now(), m.Configuration()
 	instances := max(m.Instances(), 1)
 	m.mu.Lock()
 	m.fleet.Observe(now, c, m.Evidence, FalseAlarms/2)
@@ -200,7 +214,7 @@
 		return "", ""
 	}
 	e := m.evidence()
-	if j, judged := e.Judgements[service]; judged {
+	if j, judged := e.of(move); judged {
 		verdict = j.Verdict.String()
 	}
 	for _, h := range e.Halts {
--- a/mover/plan.go
+++ b/mover/plan.go
@@ -47,6 +47,15 @@
 	Reports    map[jujubegate.Address]jujubegate.TargetReport
 }
 
+// of returns the judgement of a move, if there is one of the same start.
+func (e Evidence) of(m configurator.MoveSpec) (Judgement, bool) {
+	j, ok := e.Judgements[m.Service]
+	if !ok || j.Move.To != m.To || !j.Move.Started.Equal(m.Started) {
+		return Judgement{}, false
+	}
+	return j, true
+}
+
 // Decide returns the next statement of every move that needs one. It changes
 // nothing and does no I/O.
 func Decide(now time.Time, c configurator.Configuration, e Evidence) []Proposal {
@@ -62,7 +71,7 @@
 func decide(
 	now time.Time, c configurator.Configuration, m configurator.MoveSpec, e Evidence,
 ) (Proposal, bool) {
-	j, judged := e.Judgements[m.Service]
+	j, judged := e.of(m)
 	if m.State == configurator.Done {
 		if judged && j.Verdict.Outcome == Bad && servesAny(c, m.Service, m.From) {
 			return takeBack(m, j.Verdict.String()), true
@@ -83,7 +92,8 @@
 	if !now.Before(m.Deadline) && m.OnMissed == configurator.MissedTakeBack {
 		return takeBack(m, missed(c, m, j, e)), true
 	}
-	if !judged || !mayRaise(now, m, j) {
+	// A judgement of an earlier step says nothing about the time at this one.
+	if !judged || j.Move.Share != m.Share || j.Move.State != m.State || !mayRaise(now, m, j) {
 		return Proposal{}, false
 	}
 	return raise(c, m, j, e)
--- a/mover/tracker.go
+++ b/mover/tracker.go
@@ -56,7 +56,9 @@
 			(!trial.done.IsZero() && now.Sub(trial.done) > WatchAfterDone)
 		if ended {
 			delete(t.trials, service)
+			continue
 		}
+		trial.Follow(now, m)
 	}
 	for _, m := range c.Moves() {
 		if t.trials[m.Service] == nil && m.Running() {
--- a/mover/trial.go
+++ b/mover/trial.go
@@ -65,7 +65,7 @@
 // Add adds a block: what the counts of the service have grown by. The move is
 // the present one, with the same start.
 func (t *Trial) Add(now time.Time, move configurator.MoveSpec, grown []jujubegate.RouteCount) {
-	t.follow(now, move)
+	t.Follow(now, move)
 	t.judged = nil
 	old, fresh := make(map[cellID]*jujubegate.RouteCount), make(map[cellID]*jujubegate.RouteCount)
 	var oldAnswers uint64
@@ -113,8 +113,9 @@
 	return whole && t.quiet >= quietBlocks
 }
 
-// follow notes the step that the move is at.
-func (t *Trial) follow(now time.Time, move configurator.MoveSpec) {
+// Follow notes the step that the move is at. The time and the answers of a step
+// count from when it is first seen.
+func (t *Trial) Follow(now time.Time, move configurator.MoveSpec) {
 	if t.begun.IsZero() {
 		t.begun = now
 	}
@@ -124,7 +125,9 @@
 	if move.State == configurator.Done && t.done.IsZero() {
 		t.done = now
 	}
-	t.move = move
+	if move != t.move {
+		t.move, t.judged = move, nil
+	}
 }
 
 func (t *Trial) cell(id cellID) *trialCell {
@@ -209,7 +212,7 @@
 
 func (t *Trial) judge() Judgement {
 	j := Judgement{
-		Since: t.since, StepAnswers: t.stepAnswers, Answers: t.answers, Begun: t.begun, Done: t.done,
+		Move: t.move, Since: t.since, StepAnswers: t.stepAnswers, Answers: t.answers, Begun: t.begun, Done: t.done,
 		Proved: 1, ProvedAlone: 1, LoadAnswers: math.Inf(1),
 	}
 	if t.bad != nil {
--- a/mover/verdict.go
+++ b/mover/verdict.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"jujubegate.example/jujubegate"
+	"jujubegate.example/jujubegate/configurator"
 )
 
 // Outcome is the result of judging a version.
@@ -62,6 +63,8 @@
 
 // Judgement is what the evidence says about a move at one time.
 type Judgement struct {
+	// Move is the move as it was judged.
+	Move    configurator.MoveSpec
 	Verdict Verdict
 	// Suspicious is set while the evidence against the version is too strong to
 	// raise its share.
