Compare with the other services after the full move

Change: the instance's own counts of services without a move give a control; the tolerated rate after the full move is at least the tolerance times the control's largest rate of the last 2 s. Its usual service times are not learned from blocks with many slow answers, since a slowdown otherwise became usual within 2 s. Conclusion: an instance that owns targets of one service only has no control; a slowdown by more than 2 after the full move then takes the version back.

--- a/mover/contest.go
+++ b/mover/contest.go
@@ -60,13 +60,14 @@
 	}
 }
 
-// alone plays a block without the old version against its recorded rate.
-func (c *contest) alone(fresh sample) {
+// alone plays a block without the old version against its recorded rate, or
+// the present rate of the other services if that is larger.
+func (c *contest) alone(fresh sample, control float64) {
 	if fresh.answers == 0 || c.record.answers < minBound {
 		return
 	}
 	c.note(fresh)
-	limit := c.recordedLimit()
+	limit := max(c.after.limit, c.after.ratio*max(c.recordedRate(), control))
 	c.badRatio.play(func(i int) float64 { return single(fresh, limit*badRates[i], limit) })
 	c.badRate.play(func(i int) float64 { return single(fresh, limit*badRates[i], limit) })
 }
@@ -81,11 +82,6 @@
 	return max(long, (c.recent.events+1)/(c.recent.answers+1))
 }
 
-// recordedLimit returns the tolerated rate after the move.
-func (c *contest) recordedLimit() float64 {
-	return max(c.after.limit, c.after.ratio*c.recordedRate())
-}
-
 // bad returns the logarithm of the evidence that the version is bad.
 func (c *contest) bad() float64 { return min(c.badRatio.value(), c.badRate.value()) }
 
--- a/mover/evidence.go
+++ b/mover/evidence.go
@@ -174,7 +174,8 @@
 }
 
 // CountsOf returns Counts of the services for which the function returns
-// true. Heartbeats carry only services with a move, to stay small.
+// true. Heartbeats need those with a move that runs or is watched, see
+// Mover.Watches, and stay small otherwise.
 func (t *Tally) CountsOf(include func(jujubegate.Service) bool) []jujubegate.RouteCount {
 	return slices.DeleteFunc(t.Counts(), func(c jujubegate.RouteCount) bool { return !include(c.Service) })
 }
--- a/mover/mover.go
+++ b/mover/mover.go
@@ -32,7 +32,8 @@
 type Mover struct {
 	Clock         jujubegate.Clock
 	Configuration func() configurator.Configuration
-	// Evidence returns the fleet's cumulative counts, Own those of this instance.
+	// Evidence returns the fleet's cumulative counts, at least of services with a
+	// move, Own those of all services at this instance.
 	// The results are kept and must not change.
 	Evidence func() []jujubegate.RouteCount
 	Own      func() []jujubegate.RouteCount
@@ -67,13 +68,14 @@
 	evidence, own func() []jujubegate.RouteCount, reports func() []jujubegate.TargetReport,
 	submit func(ctx context.Context, text, author string) error, halts *Halts,
 ) *Mover {
-	return &Mover{
+	m := &Mover{
 		Clock: clock, Configuration: configuration, Evidence: evidence, Own: own, Reports: reports,
 		Instances: func() int { return 1 }, Acts: func() bool { return true },
 		Submit: submit, Halts: halts, Log: zap.NewNop(), Author: "mover",
-		fleet: NewTracker(FleetBlock), own: NewTracker(LocalBlock),
-		logged: make(map[jujubegate.Service]string), refused: make(map[string]time.Time),
+		own: NewTracker(LocalBlock), logged: make(map[jujubegate.Service]string), refused: make(map[string]time.Time),
 	}
+	m.fleet = NewTracker(FleetBlock).WithControl(m.own)
+	return m
 }
 
 // Run judges and decides on every tick until the context ends. Both have their
@@ -131,13 +133,21 @@
 	return len(m.judgements) > 0 || slices.ContainsFunc(c.Moves(), configurator.MoveSpec.Running)
 }
 
+// Watches reports whether the service has a move that is judged now, so that
+// its counts are wanted in heartbeats.
+func (m *Mover) Watches(service jujubegate.Service) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.fleet.trials[service] != nil
+}
+
 // judge adds the newest counts and stops versions that are bad.
 func (m *Mover) judge() {
 	now, c := m.Clock.Now(), m.Configuration()
 	instances := max(m.Instances(), 1)
 	m.mu.Lock()
-	m.fleet.Observe(now, c, m.Evidence, FalseAlarms/2)
 	m.own.Observe(now, c, m.Own, FalseAlarms/2/float64(instances))
+	m.fleet.Observe(now, c, m.Evidence, FalseAlarms/2)
 	m.judgements = m.fleet.Judgements()
 	for service, verdict := range m.own.Bad() {
 		// The own evidence is newer by a heartbeat than the fleet's.
--- a/mover/process_test.go
+++ b/mover/process_test.go
@@ -170,3 +170,31 @@
 		So(trial.Judgement().Verdict.String(), ShouldContainSubstring, "recorded for the old version before")
 	})
 }
+
+func TestControl(t *testing.T) {
+	Convey("The control keeps to the usual times of the other services", t, func() {
+		c, moving := newControl(), func(s jujubegate.Service) bool { return s == "Desk" }
+		counts := func(bucket int, errors uint64) []jujubegate.RouteCount {
+			other := jujubegate.RouteCount{Service: "Other", Answers: 100, Errors: errors}
+			other.Latency[bucket] = 100 - errors
+			desk := jujubegate.RouteCount{Service: "Desk", Answers: 1000, Errors: 1000}
+			return []jujubegate.RouteCount{desk, other}
+		}
+		So(c.rates(), ShouldEqual, [2]float64{})
+		for range 100 {
+			c.add(counts(5, 0), moving)
+		}
+		So(c.rates(), ShouldEqual, [2]float64{})
+		for range 100 {
+			c.add(counts(10, 20), moving)
+		}
+		So(c.rates()[Errors], ShouldAlmostEqual, 0.2, 0.001)
+		So(c.rates()[Slowness], ShouldAlmostEqual, 1, 0.001)
+		for range 2 * controlWindow {
+			c.add(counts(5, 0), moving)
+		}
+		So(c.rates()[Slowness], ShouldBeLessThan, 0.05)
+		c.reset()
+		So(c.cells, ShouldBeEmpty)
+	})
+}
--- a/mover/rule.go
+++ b/mover/rule.go
@@ -39,8 +39,8 @@
 
 // afterwards are the tolerances against what was recorded while both versions
 // ran. They are wider, and answers are slow only beyond slackAfterwards above
-// the bound, i.e. twice its time, because without the old version a general slowdown
-// looks like a fault of the new one.
+// the bound, i.e. twice its time, because without the old version only the other
+// services tell a general slowdown from a fault of the new one.
 var afterwards = [2]tolerance{Errors: {ratio: 4, limit: 0.03}, Slowness: {ratio: 2, limit: 0.05}}
 
 // Slack above the bound for slow answers, in buckets.
--- a/mover/tracker.go
+++ b/mover/tracker.go
@@ -15,11 +15,25 @@
 	// before holds the counts at the end of the last block, at the time last.
 	before []jujubegate.RouteCount
 	last   time.Time
+	// control holds the other services at this instance; the tracker with the
+	// instance's own counts feeds it, the other one only reads it.
+	control *control
+	feeds   bool
 }
 
 // NewTracker returns a tracker that forms blocks of evidence of a given length.
 func NewTracker(block time.Duration) *Tracker {
-	return &Tracker{block: block, trials: make(map[jujubegate.Service]*Trial)}
+	return &Tracker{
+		block: block, trials: make(map[jujubegate.Service]*Trial), control: newControl(), feeds: true,
+	}
+}
+
+// WithControl returns the tracker with the control of another one, which
+// observes the instance's own counts. The counts of the fleet hold only the
+// services with a move.
+func (t *Tracker) WithControl(other *Tracker) *Tracker {
+	t.control, t.feeds = other.control, false
+	return t
 }
 
 // Observe asks for the cumulative counts if a block is due. What they have
@@ -31,6 +45,9 @@
 	t.follow(now, c, falseAlarms)
 	if len(t.trials) == 0 {
 		t.before, t.last = nil, time.Time{}
+		if t.feeds {
+			t.control.reset()
+		}
 		return
 	}
 	if !t.last.IsZero() && now.Sub(t.last) < t.block {
@@ -39,8 +56,13 @@
 	all := counts()
 	if !t.last.IsZero() {
 		grown := Difference(t.before, all)
+		if t.feeds {
+			t.control.add(grown, func(s jujubegate.Service) bool { return t.trials[s] != nil })
+		}
+		control := t.control.rates()
 		for service, trial := range t.trials {
 			if m, ok := c.Move(service); ok {
+				trial.control = control
 				trial.Add(now, m, grown)
 			}
 		}
