--- a/mover/mover.go
+++ b/mover/mover.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -20,9 +21,9 @@
 	// refusedPause is how long a statement that was refused for another reason
 	// than a conflict or the store is not submitted again.
 	refusedPause = 5 * time.Second
-	// submitTimeout bounds one proposal, so that a slow store does not keep the
-	// instance from judging the next blocks for long.
-	submitTimeout = 2 * time.Second
+	// submitTimeout bounds one proposal, so that the next decision rests on
+	// newer evidence.
+	submitTimeout = 5 * time.Second
 )
 
 // Mover judges the running moves, stops bad versions at this instance, and
@@ -31,7 +32,8 @@
 type Mover struct {
 	Clock         jujubegate.Clock
 	Configuration func() configurator.Configuration
-	// Evidence returns the fleet's cumulative counts, Own those of this instance.
+	// Evidence returns the fleet's cumulative counts, at least of services with a
+	// move, Own those of all services at this instance.
 	// The results are kept and must not change.
 	Evidence func() []jujubegate.RouteCount
 	Own      func() []jujubegate.RouteCount
@@ -49,9 +51,10 @@
 	Author string
 
 	mu sync.Mutex
-	// fleet and own are guarded by mu, like the tables of the last tick.
+	// fleet, own and judgements are guarded by mu.
 	fleet, own *Tracker
 	judgements map[jujubegate.Service]Judgement
+	// The fields below belong to the loop that submits.
 	// logged holds the last line per service, so that each decision is logged once.
 	logged map[jujubegate.Service]string
 	// refused holds when a kind of statement was refused last.
@@ -65,32 +68,45 @@
 	evidence, own func() []jujubegate.RouteCount, reports func() []jujubegate.TargetReport,
 	submit func(ctx context.Context, text, author string) error, halts *Halts,
 ) *Mover {
-	return &Mover{
+	m := &Mover{
 		Clock: clock, Configuration: configuration, Evidence: evidence, Own: own, Reports: reports,
 		Instances: func() int { return 1 }, Acts: func() bool { return true },
 		Submit: submit, Halts: halts, Log: zap.NewNop(), Author: "mover",
-		fleet: NewTracker(FleetBlock), own: NewTracker(LocalBlock),
-		logged: make(map[jujubegate.Service]string), refused: make(map[string]time.Time),
+		own: NewTracker(LocalBlock), logged: make(map[jujubegate.Service]string), refused: make(map[string]time.Time),
 	}
+	m.fleet = NewTracker(FleetBlock).WithControl(m.own)
+	return m
 }
 
-// Run decides on every tick until the context ends.
+// Run judges and decides on every tick until the context ends. Both have their
+// own loop, so that a slow store does not delay the halt of a bad version.
 func (m *Mover) Run(ctx context.Context) {
-	for {
-		m.Step(ctx)
+	var judging sync.WaitGroup
+	judging.Go(func() { m.every(ctx, func() { m.judge() }) })
+	m.every(ctx, func() { m.act(ctx) })
+	judging.Wait()
+}
+
+func (m *Mover) every(ctx context.Context, do func()) {
+	for ctx.Err() == nil {
+		do()
 		select {
 		case <-ctx.Done():
-			return
 		case <-m.Clock.After(Tick):
 		}
 	}
 }
 
-// Step makes one decision.
+// Step judges and decides once.
 func (m *Mover) Step(ctx context.Context) {
+	m.judge()
+	m.act(ctx)
+}
+
+// act submits the next statements.
+func (m *Mover) act(ctx context.Context) {
 	now, c := m.Clock.Now(), m.Configuration()
-	m.judge(now, c)
-	if !m.Acts() {
+	if !m.Acts() || !m.busy(c) {
 		return
 	}
 	for _, p := range Decide(now, c, m.evidence()) {
@@ -109,12 +125,29 @@
 	}
 }
 
+// busy reports whether there is a move to decide about. Without one the
+// reports of all targets are not asked for.
+func (m *Mover) busy(c configurator.Configuration) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return len(m.judgements) > 0 || slices.ContainsFunc(c.Moves(), configurator.MoveSpec.Running)
+}
+
+// Watches reports whether the service has a move that is judged now, so that
+// its counts are wanted in heartbeats.
+func (m *Mover) Watches(service jujubegate.Service) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.fleet.trials[service] != nil
+}
+
 // judge adds the newest counts and stops versions that are bad.
-func (m *Mover) judge(now time.Time, c configurator.Configuration) {
+func (m *Mover) judge() {
+	now, c := m.Clock.Now(), m.Configuration()
 	instances := max(m.Instances(), 1)
 	m.mu.Lock()
-	m.fleet.Observe(now, c, m.Evidence, FalseAlarms/2)
 	m.own.Observe(now, c, m.Own, FalseAlarms/2/float64(instances))
+	m.fleet.Observe(now, c, m.Evidence, FalseAlarms/2)
 	m.judgements = m.fleet.Judgements()
 	for service, verdict := range m.own.Bad() {
 		// The own evidence is newer by a heartbeat than the fleet's.
@@ -123,7 +156,7 @@
 			m.judgements[service] = j
 		}
 	}
-	halts := append(m.fleet.Halts("whole fleet"), m.own.Halts(m.Author)...)
+	halts := append(m.fleet.Halts("evidence of the fleet"), m.own.Halts("own evidence of "+m.Author)...)
 	m.mu.Unlock()
 	m.Halts.Align(c)
 	for _, h := range halts {
@@ -200,7 +233,7 @@
 		return "", ""
 	}
 	e := m.evidence()
-	if j, judged := e.Judgements[service]; judged {
+	if j, judged := e.of(move); judged {
 		verdict = j.Verdict.String()
 	}
 	for _, h := range e.Halts {
--- a/mover/process_test.go
+++ b/mover/process_test.go
@@ -120,6 +120,27 @@
 			So(trial.Judgement().Verdict.Outcome, ShouldEqual, c.outcome)
 		})
 	}
+	Convey("Few answers per block are judged too: guards against a bound that needs a rate of answers", t, func() {
+		old := jujubegate.RouteCount{Service: "Desk", Version: "v1", Route: "Search", Answers: 4}
+		fresh := jujubegate.RouteCount{Service: "Desk", Version: "v2", Route: "Search", Answers: 1}
+		old.Latency[5], fresh.Latency[5] = 4, 1
+		trial := NewTrial(move, []jujubegate.Route{"Search"}, FleetBlock, FalseAlarms)
+		for i := range 2000 {
+			trial.Add(epoch.Add(time.Duration(i)*FleetBlock), move, []jujubegate.RouteCount{old, fresh})
+		}
+		So(trial.Judgement().Verdict.Outcome, ShouldEqual, Good)
+	})
+	Convey("A cell without a bound does not hold up a move for ever", t, func() {
+		trial := NewTrial(move, []jujubegate.Route{"Search"}, FleetBlock, FalseAlarms)
+		fresh := jujubegate.RouteCount{Service: "Desk", Version: "v2", Route: "Search", Answers: 10}
+		fresh.Latency[5] = 10
+		for i := range 500 {
+			trial.Add(epoch.Add(time.Duration(i)*FleetBlock), move, []jujubegate.RouteCount{fresh})
+		}
+		j := trial.Judgement()
+		So(j.Verdict.Outcome, ShouldEqual, Undecided)
+		So(j.ProvedAlone, ShouldEqual, 1)
+	})
 	Convey("The verdict is a sentence with the numbers of the time of the fault", t, func() {
 		trial := NewTrial(move, []jujubegate.Route{"Search"}, FleetBlock, FalseAlarms)
 		for i := range 110 {
@@ -149,3 +170,31 @@
 		So(trial.Judgement().Verdict.String(), ShouldContainSubstring, "recorded for the old version before")
 	})
 }
+
+func TestControl(t *testing.T) {
+	Convey("The control keeps to the usual times of the other services", t, func() {
+		c, moving := newControl(), func(s jujubegate.Service) bool { return s == "Desk" }
+		counts := func(bucket int, errors uint64) []jujubegate.RouteCount {
+			other := jujubegate.RouteCount{Service: "Other", Answers: 100, Errors: errors}
+			other.Latency[bucket] = 100 - errors
+			desk := jujubegate.RouteCount{Service: "Desk", Answers: 1000, Errors: 1000}
+			return []jujubegate.RouteCount{desk, other}
+		}
+		So(c.rates(), ShouldEqual, [2]float64{})
+		for range 100 {
+			c.add(counts(5, 0), moving)
+		}
+		So(c.rates(), ShouldEqual, [2]float64{})
+		for range 100 {
+			c.add(counts(10, 20), moving)
+		}
+		So(c.rates()[Errors], ShouldAlmostEqual, 0.2, 0.001)
+		So(c.rates()[Slowness], ShouldAlmostEqual, 1, 0.001)
+		for range 2 * controlWindow {
+			c.add(counts(5, 0), moving)
+		}
+		So(c.rates()[Slowness], ShouldBeLessThan, 0.05)
+		c.reset()
+		So(c.cells, ShouldBeEmpty)
+	})
+}
--- a/mover/trial.go
+++ b/mover/trial.go
@@ -39,7 +39,9 @@
 	// routes limits the cells to declared routes.
 	routes []jujubegate.Route
 	quiet  int
-	bad    *Verdict
+	// control is the present rates of the services without a move.
+	control [2]float64
+	bad     *Verdict
 	// judged is the result of the last block; nil if it has to be computed.
 	judged *Judgement
 
@@ -65,7 +67,7 @@
 // Add adds a block: what the counts of the service have grown by. The move is
 // the present one, with the same start.
 func (t *Trial) Add(now time.Time, move configurator.MoveSpec, grown []jujubegate.RouteCount) {
-	t.follow(now, move)
+	t.Follow(now, move)
 	t.judged = nil
 	old, fresh := make(map[cellID]*jujubegate.RouteCount), make(map[cellID]*jujubegate.RouteCount)
 	var oldAnswers uint64
@@ -93,7 +95,7 @@
 		t.quiet = 0
 	}
 	for id, cell := range t.cells {
-		cell.add(or(fresh[id]), or(old[id]), t.recorded())
+		cell.add(or(fresh[id]), or(old[id]), t.recorded(), t.control)
 	}
 	if t.bad == nil {
 		t.judgeBad()
@@ -113,8 +115,9 @@
 	return whole && t.quiet >= quietBlocks
 }
 
-// follow notes the step that the move is at.
-func (t *Trial) follow(now time.Time, move configurator.MoveSpec) {
+// Follow notes the step that the move is at. The time and the answers of a step
+// count from when it is first seen.
+func (t *Trial) Follow(now time.Time, move configurator.MoveSpec) {
 	if t.begun.IsZero() {
 		t.begun = now
 	}
@@ -124,7 +127,9 @@
 	if move.State == configurator.Done && t.done.IsZero() {
 		t.done = now
 	}
-	t.move = move
+	if move != t.move {
+		t.move, t.judged = move, nil
+	}
 }
 
 func (t *Trial) cell(id cellID) *trialCell {
@@ -139,13 +144,13 @@
 }
 
 // add plays a block with the bound of the blocks before, and then learns.
-func (c *trialCell) add(fresh, old *jujubegate.RouteCount, recorded bool) {
+func (c *trialCell) add(fresh, old *jujubegate.RouteCount, recorded bool, control [2]float64) {
 	c.weight += float64(fresh.Answers + old.Answers)
 	faults, slow := &c.contests[Errors], &c.contests[Slowness]
 	if recorded {
-		faults.alone(errorSample(fresh))
+		faults.alone(errorSample(fresh), control[Errors])
 		if c.bound >= 0 {
-			slow.alone(slowSample(fresh, c.bound+slackAfterwards))
+			slow.alone(slowSample(fresh, c.bound+slackAfterwards), control[Slowness])
 		}
 		return
 	}
@@ -156,7 +161,9 @@
 		slow.remember(slowSample(old, c.bound+slackAfterwards))
 	}
 	if old.Answers > 0 {
-		c.times.decay(shortMemory)
+		if c.times.total()*shortMemory >= minBound {
+			c.times.decay(shortMemory)
+		}
 		c.times.add(&old.Latency)
 		if c.times.total() >= minBound {
 			c.bound = c.times.bound(slowPart)
@@ -209,7 +216,7 @@
 
 func (t *Trial) judge() Judgement {
 	j := Judgement{
-		Since: t.since, StepAnswers: t.stepAnswers, Answers: t.answers, Begun: t.begun, Done: t.done,
+		Move: t.move, Since: t.since, StepAnswers: t.stepAnswers, Answers: t.answers, Begun: t.begun, Done: t.done,
 		Proved: 1, ProvedAlone: 1, LoadAnswers: math.Inf(1),
 	}
 	if t.bad != nil {
@@ -224,9 +231,9 @@
 			j.Suspicious = j.Suspicious || c.bad() >= t.suspectAt
 			proved := min(max(c.good()/t.goodAt, 0), 1)
 			switch {
-			case id.load == jujubegate.Alone:
+			case id.load == jujubegate.Alone && (Kind(k) == Errors || t.cells[id].bound >= 0):
 				j.ProvedAlone = min(j.ProvedAlone, proved)
-			case proved < 1:
+			case id.load == jujubegate.Loaded && proved < 1:
 				j.LoadAnswers = min(j.LoadAnswers, c.answers)
 			}
 			good = good && proved == 1
--- a/mover/verdict.go
+++ b/mover/verdict.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"jujubegate.example/jujubegate"
+	"jujubegate.example/jujubegate/configurator"
 )
 
 // Outcome is the result of judging a version.
@@ -62,11 +63,14 @@
 
 // Judgement is what the evidence says about a move at one time.
 type Judgement struct {
+	// Move is the move as it was judged.
+	Move    configurator.MoveSpec
 	Verdict Verdict
 	// Suspicious is set while the evidence against the version is too strong to
 	// raise its share.
 	Suspicious bool
-	// ProvedAlone is Proved over the cells that are not under load, and
+	// ProvedAlone is Proved over the cells that are not under load and in which
+	// the old version has enough answers to compare with, and
 	// LoadAnswers the least number of answers in those that are and are not good.
 	ProvedAlone float64
 	LoadAnswers float64
--- a/mover/world_test.go
+++ b/mover/world_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"jujubegate.example/jujubegate"
@@ -68,11 +69,14 @@
 	route  jujubegate.Route
 	whole  bool // from 3 s after the share is 100
 	both   bool // the old version has it too
+	// hiccup is a period in which the targets of instance 0 pause once for 0.4 s,
+	// those of the old version half a period later.
+	hiccup time.Duration
 }
 
 const (
-	moveTime = 120 * time.Second
-	rate     = 4000.0 // sub-requests a second
+	moveTime = 60 * time.Second
+	rate     = 8000.0 // sub-requests a second
 	sources  = 2
 	lag      = 500 * time.Millisecond // of the counts, beside the heartbeat's interval
 )
@@ -115,7 +119,7 @@
 	}
 	w.median, w.sigma = 0.005+0.02*w.random.Float64(), 0.3+0.2*w.random.Float64()
 	w.baseErrors = 0.003 * w.random.Float64()
-	w.configuration = declared(`BringIn Version v2 { Service = Desk; Deadline = 120s; };`)
+	w.configuration = declared(`BringIn Version v2 { Service = Desk; Deadline = 60s; };`)
 	for i := range w.counts {
 		w.counts[i] = make(map[CellKey]jujubegate.RouteCount)
 	}
@@ -134,8 +138,14 @@
 	return n
 }
 
-func (w *world) active() bool {
+func (w *world) active(version jujubegate.Version) bool {
 	since := w.now.Sub(epoch)
+	if p := w.fault.hiccup; p > 0 {
+		if version == "v1" {
+			since += p / 2
+		}
+		return since%p >= p/4 && since%p < p/4+400*time.Millisecond
+	}
 	if w.fault.whole {
 		return !w.whole.IsZero() && w.now.Sub(w.whole) >= 3*time.Second
 	}
@@ -145,18 +155,24 @@
 // traffic draws the answers of one tick to a version that gets a share.
 func (w *world) traffic(version jujubegate.Version, share float64) {
 	loaded := 1 - math.Exp(-0.7*share)
-	for _, route := range []jujubegate.Route{"Search", "Book"} {
+	service, routes := jujubegate.Service("Desk"), []jujubegate.Route{"Search", "Book"}
+	if version == "other" {
+		service, routes = "Other", routes[:1]
+	}
+	for _, route := range routes {
 		for load := range 2 {
 			mean := rate * Tick.Seconds() * share * map[jujubegate.Route]float64{"Search": 0.8, "Book": 0.2}[route]
 			mean *= []float64{1 - loaded, loaded}[load]
 			errors, factor := w.baseErrors, 1+0.3*float64(load)
-			hit := w.active() && (version == "v2" || w.fault.both && !w.blind) &&
-				(!w.fault.loaded || load == 1) && (w.fault.route == "" || w.fault.route == route)
+			hit := w.active(version) && (version == "v2" || w.fault.both && !w.blind) && (!w.fault.loaded || load == 1) && (w.fault.route == "" || w.fault.route == route)
 			if hit {
 				errors, factor = errors+w.fault.errors, factor*max(w.fault.slow, 1)
 			}
-			key := CellKey{"Desk", version, route, jujubegate.LoadLevel(load)}
+			key := CellKey{service, version, route, jujubegate.LoadLevel(load)}
 			for i := range w.counts {
+				if w.fault.hiccup > 0 && i > 0 {
+					errors, factor = w.baseErrors, 1+0.3*float64(load)
+				}
 				w.draw(i, key, mean/sources, errors, w.median*factor, hit)
 			}
 		}
@@ -218,7 +234,8 @@
 		}
 		w.sent[i] = append(w.sent[i], w.list(i))
 		if late := int(lag/Tick) / 2; len(w.sent[i]) > late {
-			w.fleet.Merge(jujubegate.Instance(fmt.Sprint(i)), "1", w.sent[i][0], w.now)
+			moving := slices.DeleteFunc(w.sent[i][0], func(c jujubegate.RouteCount) bool { return c.Service != "Desk" })
+			w.fleet.Merge(jujubegate.Instance(fmt.Sprint(i)), "1", moving, w.now)
 			w.sent[i] = w.sent[i][1:]
 		}
 	}
@@ -266,6 +283,7 @@
 		if share < 1 {
 			w.traffic("v1", 1-share)
 		}
+		w.traffic("other", 0.2)
 		w.now = w.now.Add(Tick)
 		w.heartbeats(tick)
 		if visible.IsZero() && w.faulty >= 20 {
@@ -283,7 +301,11 @@
 			r.ended = w.now.Sub(epoch)
 		}
 		quiet := move.State == configurator.TakenBack && w.now.Sub(verdict) > 3*time.Second
-		if quiet || move.State == configurator.Done && !w.fault.whole && w.now.Sub(epoch) > r.ended+5*time.Second {
+		watched := 5 * time.Second
+		if w.fault.whole {
+			watched = 20 * time.Second
+		}
+		if quiet || move.State == configurator.Done && w.now.Sub(epoch) > r.ended+watched {
 			break
 		}
 	}
