Fence mover proposals by generation, drain listed targets, leave by stages

Cause: a mover that was paused could submit a stale step, since a proposal was checked against the newest state only; targets that only the platform's list names as leaving still got work; the leaving sequence stood twice. Change: a Proposal can name the generation that it was decided on, and a later one in force is a conflict. The daemon leaves by advertiser.Leaver. The test of the generation condition fails without it. Conclusion: a stale step loses like any other racing change.

--- a/assembler/daemon.go
+++ b/assembler/daemon.go
@@ -68,6 +68,7 @@
 	peers      *peerBook
 	tally      *mover.Tally
 	evidence   *mover.Fleet
+	listing    listing
 	halts      *mover.Halts
 	mover      *mover.Mover
 	client     *transporter.Client
@@ -204,6 +205,7 @@
 	d.handler.Counts = d.movingCounts
 	d.handler.Halts = d.halts.List
 	d.handler.TakeHalts = d.halts.Merge
+	d.handler.Leaving = d.listing.get
 	d.handler.Changes = d.follower.After
 	d.handler.Offer = d.offer
 	d.handler.TellStatus = d.status
@@ -268,6 +270,7 @@
 	group.Go(func() error { d.configure(groupContext); return nil })
 	group.Go(func() error { d.keepUp(groupContext); return nil })
 	group.Go(func() error { d.mover.Run(groupContext); return nil })
+	group.Go(func() error { d.readListing(groupContext); return nil })
 	group.Go(func() error {
 		select {
 		case <-ctx.Done():
--- a/assembler/leave.go
+++ b/assembler/leave.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
 
 	"jujubegate.example/jujubegate"
+	"jujubegate.example/jujubegate/advertiser"
 	"jujubegate.example/jujubegate/leaser"
 	"jujubegate.example/jujubegate/recorder"
 )
@@ -15,61 +17,84 @@
 const (
 	// lookupMargin is added to the time that callers keep an address.
 	lookupMargin = 2 * time.Second
-	// drainTime bounds the wait for requests in flight.
-	drainTime = 30 * time.Second
-	// leaveTime bounds the handover of the targets; without it the others take
-	// them over when the lease has expired.
-	leaveTime = 10 * time.Second
-	// drainPause is the time between two checks of the requests in flight.
-	drainPause = 20 * time.Millisecond
+	// leavePause is the time between two steps of the leaving sequence.
+	leavePause = 20 * time.Millisecond
 )
 
-// leave stops gracefully: it announces the leave, serves for as long as callers
-// keep this address, refuses new work, finishes what is in flight, hands over
-// the targets and leaves the view.
+// leave takes this instance out of use, stage by stage.
 func (d *Daemon) leave(callerServer *http.Server) {
-	d.logger.Info("assembler: leaving", zap.Duration("hold", d.settings.Lookup.ValidFor+lookupMargin))
-	d.leaser.Announce()
-	d.clock.Sleep(d.settings.Lookup.ValidFor + lookupMargin)
-	d.refusing.Store(&jujubegate.Refusal{
-		Reason:  jujubegate.Leaving,
-		Outcome: jujubegate.NotRun,
-		Detail:  "instance is leaving: use another one",
-	})
-	ctx, cancel := context.WithTimeout(context.Background(), drainTime)
+	limits := advertiser.DefaultLimits()
+	limits.Announce = 2 * d.settings.Lease.Heartbeat
+	limits.Hold = d.settings.Lookup.ValidFor + lookupMargin
+	sequence := advertiser.NewLeaver(limits)
+	ctx, cancel := context.WithTimeout(context.Background(), limits.Announce+limits.Hold+limits.Drain+limits.Depart)
 	defer cancel()
-	if !d.drain(ctx, func() bool { return d.server.InFlight() == 0 }) {
-		d.recorder.Check().Violation(recorder.GracefulStop, "%d requests of callers in flight after %v", d.server.InFlight(), drainTime)
+	var departed atomic.Bool
+	sequence.Begin(d.clock.Now())
+	stage := sequence.Stage()
+	d.enterStage(ctx, stage, &departed)
+	for stage != advertiser.Done {
+		d.clock.Sleep(leavePause)
+		next := sequence.Advance(d.clock.Now(), advertiser.Progress{
+			Queries:     int(d.server.InFlight()),
+			SubRequests: d.dispatcher.InFlight(),
+			HandedOver:  d.handedOver(),
+			Departed:    departed.Load(),
+		})
+		for ; stage < next; stage++ {
+			d.enterStage(ctx, stage+1, &departed)
+		}
+	}
+	if sequence.Overrun() {
+		d.recorder.Check().Violation(recorder.GracefulStop, "%d requests of callers and %d at targets were in flight after %v",
+			d.server.InFlight(), d.dispatcher.InFlight(), limits.Drain)
 	}
 	if err := callerServer.Shutdown(ctx); err != nil {
 		d.logger.Warn("assembler: connections of callers not closed in time", zap.Error(err))
 	}
-	handover, cancelHandover := context.WithTimeout(context.Background(), leaveTime)
-	defer cancelHandover()
-	if err := d.leaser.Leave(handover); err != nil {
-		d.logger.Warn("assembler: targets not handed over", zap.Error(err))
-	}
-	d.dispatcher.Close(handover)
+	d.dispatcher.Close(ctx)
 	d.logger.Info("assembler: left")
 }
 
-// drain waits until the condition holds or the context ends.
-func (d *Daemon) drain(ctx context.Context, idle func() bool) bool {
-	for !idle() {
-		select {
-		case <-ctx.Done():
-			return false
-		case <-d.clock.After(drainPause):
-		}
+// enterStage does what the start of a stage asks for.
+func (d *Daemon) enterStage(ctx context.Context, stage advertiser.Stage, departed *atomic.Bool) {
+	d.logger.Info("assembler: leaving", zap.Stringer("stage", stage))
+	switch stage {
+	case advertiser.Announced:
+		d.leaser.Announce()
+	case advertiser.Refusing:
+		d.refusing.Store(&jujubegate.Refusal{
+			Reason:  jujubegate.Leaving,
+			Outcome: jujubegate.NotRun,
+			Detail:  "instance is leaving: use another one",
+		})
+	case advertiser.Draining:
+		d.background.Go(func() {
+			if err := d.leaser.Leave(ctx); err != nil {
+				d.logger.Warn("assembler: targets not handed over", zap.Error(err))
+				return
+			}
+			departed.Store(true)
+		})
 	}
-	return true
+}
+
+// handedOver reports whether the view gives no targets to this instance.
+func (d *Daemon) handedOver() bool {
+	s := d.leaser.State()
+	self, ok := s.View.Member(d.self.Instance)
+	return !ok || self.ID() != d.self.ID() || self.Leaving
 }
 
 // drainLost waits until nothing runs on targets that the view gives to others.
 func (d *Daemon) drainLost(ctx context.Context, _ leaser.View) error {
 	d.updateTargets(d.clock.Now())
-	if !d.drain(ctx, func() bool { return d.dispatcher.Retired() == 0 }) {
-		return ctx.Err()
+	for d.dispatcher.Retired() > 0 {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-d.clock.After(leavePause):
+		}
 	}
 	return nil
 }
--- a/assembler/move.go
+++ b/assembler/move.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"jujubegate.example/jujubegate"
+	"jujubegate.example/jujubegate/configurator"
 	"jujubegate.example/jujubegate/mover"
 )
 
@@ -17,8 +18,8 @@
 	d.mover.Log = d.logger
 }
 
-func (d *Daemon) submitMove(ctx context.Context, text, author string) error {
-	_, err := d.follower.Propose(ctx, text, author)
+func (d *Daemon) submitMove(ctx context.Context, p configurator.Proposal) error {
+	_, err := d.follower.Submit(ctx, p)
 	return err
 }
 
@@ -39,12 +40,7 @@
 	return ok && report.State == jujubegate.Warm
 }
 
-// movingCounts returns this instance's counts of services that have a move,
-// running or ended: late faults show after the end.
+// movingCounts returns this instance's counts of services whose move is judged.
 func (d *Daemon) movingCounts() []jujubegate.RouteCount {
-	c := d.follower.Current()
-	return d.tally.CountsOf(func(service jujubegate.Service) bool {
-		_, ok := c.Move(service)
-		return ok
-	})
+	return d.tally.CountsOf(d.mover.Watches)
 }
--- a/assembler/route.go
+++ b/assembler/route.go
@@ -68,6 +68,7 @@
 	d.reports.put(o.Peer.ID(), o.Reports)
 	d.evidence.Merge(o.Peer.Instance, o.Peer.Incarnation, o.Counts, d.clock.Now())
 	d.halts.Merge(o.Halts)
+	d.drainTargets(o.Leaving)
 }
 
 // keepUp updates the dispatcher's targets and this instance's own reports. It
--- a/assembler/status.go
+++ b/assembler/status.go
@@ -11,7 +11,6 @@
 	"jujubegate.example/jujubegate"
 	"jujubegate.example/jujubegate/commander"
 	"jujubegate.example/jujubegate/leaser"
-	"jujubegate.example/jujubegate/lister"
 	"jujubegate.example/jujubegate/recorder"
 	"jujubegate.example/jujubegate/transporter"
 )
@@ -128,23 +127,6 @@
 	return heard
 }
 
-// listed reads the platform's list for the leaser.
-func (d *Daemon) listed(ctx context.Context) (leaser.Listing, bool) {
-	list, err := d.lister.List(ctx)
-	if err != nil {
-		return leaser.Listing{}, false
-	}
-	var listing leaser.Listing
-	for _, e := range slices.Concat(list.Live, list.Leaving) {
-		if e.Kind == lister.KindInstance {
-			listing.Live = append(listing.Live, leaser.Listed{
-				Instance: jujubegate.Instance(e.Name), PeerAddress: e.PeerAddress,
-			})
-		}
-	}
-	return listing, true
-}
-
 func (d *Daemon) publishGauges() {
 	d.queryLatency = d.recorder.Histogram(recorder.QueryLatency)
 	c := &d.querier.Counters
--- a/configurator/propose.go
+++ b/configurator/propose.go
@@ -23,6 +23,10 @@
 	Token string
 	// DryRun checks the batch without changing anything.
 	DryRun bool
+	// After is the generation that the batch was decided on; 0 means any. If a
+	// later one is in force, the proposal fails with ConflictError. It keeps a
+	// component that was paused from acting on an old state.
+	After jujubegate.Generation
 }
 
 // maxAuthor is the largest number of bytes in the name of an author.
@@ -84,6 +88,11 @@
 	if g, ok := s.tokens[p.Token]; ok {
 		return g, nil
 	}
+	if p.After != 0 && p.After != s.configuration.generation {
+		latest := s.configuration.generation
+		known, _ := s.known(latest)
+		return 0, &ConflictError{Generation: latest, Author: known.Author}
+	}
 	// Peers carry the time in microseconds, so that it must be whole there.
 	at := f.clock.Now().UTC().Truncate(time.Microsecond)
 	next, findings := s.configuration.Apply(batch, at)
--- a/configurator/propose_test.go
+++ b/configurator/propose_test.go
@@ -7,7 +7,9 @@
 	"testing"
 	"time"
 
+	"github.com/jonboulle/clockwork"
 	. "github.com/smartystreets/goconvey/convey"
+	"go.uber.org/zap"
 
 	"jujubegate.example/jujubegate"
 	"jujubegate.example/jujubegate/storer"
@@ -171,3 +173,24 @@
 		})
 	})
 }
+
+func TestSubmitOnOldGeneration(t *testing.T) {
+	// Guards against a paused component that acts on a state that others have
+	// changed meanwhile.
+	Convey("A proposal that was decided on an older generation is a conflict", t, func() {
+		f := New(storer.NewMemory(clockwork.NewRealClock(), 1).Store, clockwork.NewRealClock(), zap.NewNop())
+		const first = "Declare Service Desk { Shards = 1; Slots = 1; Connections = 4; ColdLimit = 1; Deadline = 1s; };"
+		g, err := f.Propose(t.Context(), first, "ops")
+		So(err, ShouldBeNil)
+		_, err = f.Propose(t.Context(), "Alter Service Desk { Slots = 2; };", "ops")
+		So(err, ShouldBeNil)
+		_, err = f.Submit(t.Context(), Proposal{Statements: "Alter Service Desk { Slots = 3; };", Author: "mover", After: g})
+		var conflict *ConflictError
+		So(errors.As(err, &conflict), ShouldBeTrue)
+		So(conflict, ShouldResemble, &ConflictError{Generation: 2, Author: "ops"})
+		spec, _ := f.Current().Service("Desk")
+		So(spec.Slots, ShouldEqual, 2)
+		_, err = f.Submit(t.Context(), Proposal{Statements: "Alter Service Desk { Slots = 3; };", Author: "mover", After: 2})
+		So(err, ShouldBeNil)
+	})
+}
--- a/mover/mover.go
+++ b/mover/mover.go
@@ -44,7 +44,7 @@
 	// Acts reports whether this instance submits statements. The others stay quiet.
 	Acts func() bool
 	// Submit proposes a statement, like configurator.Follower.Submit.
-	Submit func(ctx context.Context, text, author string) error
+	Submit func(ctx context.Context, p configurator.Proposal) error
 	Halts  *Halts
 	Log    *zap.Logger
 	// Author is the author of the statements.
@@ -66,7 +66,7 @@
 func New(
 	clock jujubegate.Clock, configuration func() configurator.Configuration,
 	evidence, own func() []jujubegate.RouteCount, reports func() []jujubegate.TargetReport,
-	submit func(ctx context.Context, text, author string) error, halts *Halts,
+	submit func(ctx context.Context, p configurator.Proposal) error, halts *Halts,
 ) *Mover {
 	m := &Mover{
 		Clock: clock, Configuration: configuration, Evidence: evidence, Own: own, Reports: reports,
@@ -121,7 +121,7 @@
 			// decides again.
 			return
 		}
-		m.submit(ctx, p)
+		m.submit(ctx, p, c.Generation())
 	}
 }
 
@@ -181,10 +181,13 @@
 
 // submit proposes a statement. A conflict or an unavailable store is no
 // failure, since the next tick decides again on what is then in force.
-func (m *Mover) submit(ctx context.Context, p Proposal) {
+//
+// The generation is the one that the decision rests on. Without it a runner
+// that was paused could lower a share or take back a move that began later.
+func (m *Mover) submit(ctx context.Context, p Proposal, after jujubegate.Generation) {
 	ctx, cancel := context.WithTimeout(ctx, submitTimeout)
 	defer cancel()
-	err := m.Submit(ctx, p.Text, m.Author)
+	err := m.Submit(ctx, configurator.Proposal{Statements: p.Text, Author: m.Author, After: after})
 	outcome := "Accepted"
 	if err != nil {
 		outcome = classify(err)
--- a/mover/mover_test.go
+++ b/mover/mover_test.go
@@ -46,9 +46,13 @@
 		defer b.mu.Unlock()
 		return b.counts.counts()
 	}
-	submit := func(_ context.Context, text, _ string) error {
+	submit := func(_ context.Context, p configurator.Proposal) error {
 		b.mu.Lock()
 		defer b.mu.Unlock()
+		if p.After != b.configuration.Generation() {
+			return &configurator.ConflictError{Generation: b.configuration.Generation()}
+		}
+		text := p.Statements
 		b.submitted = append(b.submitted, text)
 		b.times = append(b.times, b.clock.Now())
 		if b.answer != nil {
--- a/mover/world_test.go
+++ b/mover/world_test.go
@@ -252,8 +252,8 @@
 // run moves the traffic until some time after the move's end.
 func (w *world) run() result {
 	var r result
-	submit := func(_ context.Context, text, _ string) error {
-		next, err := apply(w.configuration, text, w.now)
+	submit := func(_ context.Context, p configurator.Proposal) error {
+		next, err := apply(w.configuration, p.Statements, w.now)
 		w.configuration = next
 		return err
 	}
--- a/transporter/handler.go
+++ b/transporter/handler.go
@@ -27,9 +27,12 @@
 	Counts       func() []jujubegate.RouteCount
 	Halts        func() []mover.Halt
 	TakeHalts    func([]mover.Halt)
-	Changes      func(after jujubegate.Generation) []configurator.Change
-	Offer        func([]configurator.Change) jujubegate.Generation
-	TellStatus   func() Status
+	// Leaving returns the targets that the platform lists as leaving, if this
+	// instance reads the list.
+	Leaving    func() []jujubegate.Address
+	Changes    func(after jujubegate.Generation) []configurator.Change
+	Offer      func([]configurator.Change) jujubegate.Generation
+	TellStatus func() Status
 
 	clock  jujubegate.Clock
 	logger *zap.Logger
--- a/transporter/heartbeat.go
+++ b/transporter/heartbeat.go
@@ -45,6 +45,8 @@
 	Reports []jujubegate.TargetReport
 	Counts  []jujubegate.RouteCount
 	Halts   []mover.Halt
+	// Leaving holds the targets that the platform lists as leaving.
+	Leaving []jujubegate.Address
 }
 
 // Heartbeat sends a heartbeat and passes the rest of the answer to Observed.
@@ -72,6 +74,7 @@
 		Reports: decodeReports(answer.GetReports()),
 		Counts:  decodeCounts(answer.GetCounts()),
 		Halts:   decodeHalts(answer.GetHalts()),
+		Leaving: decodeAddresses(answer.GetLeavingTargets()),
 	})
 	c.marks.set(receiver.Instance, mark{receiver.Incarnation, answer.GetReportsMark()})
 	return leaser.HeartbeatAnswer{
@@ -114,6 +117,8 @@
 		ReportsMark: next,
 		Counts:      encodeCounts(h.Counts()),
 		Halts:       encodeHalts(h.Halts()),
+
+		LeavingTargets: encodeAddresses(h.Leaving()),
 	}), nil
 }
 
@@ -182,3 +187,19 @@
 	}
 	return decoded
 }
+
+func encodeAddresses(addresses []jujubegate.Address) []string {
+	encoded := make([]string, len(addresses))
+	for i, a := range addresses {
+		encoded[i] = string(a)
+	}
+	return encoded
+}
+
+func decodeAddresses(addresses []string) []jujubegate.Address {
+	decoded := make([]jujubegate.Address, len(addresses))
+	for i, a := range addresses {
+		decoded[i] = jujubegate.Address(a)
+	}
+	return decoded
+}
--- a/transporter/transporter_test.go
+++ b/transporter/transporter_test.go
@@ -143,6 +143,7 @@
 		handler.Counts = func() []jujubegate.RouteCount { return counts }
 		handler.Halts = func() []mover.Halt { return halts }
 		var taken []mover.Halt
+		handler.Leaving = func() []jujubegate.Address { return []jujubegate.Address{"127.0.0.1:1"} }
 		handler.TakeHalts = func(h []mover.Halt) { taken = h }
 		client.Halts = func() []mover.Halt { return halts }
 		handler.ReportsSince = func(mark uint64) ([]jujubegate.TargetReport, uint64) {
@@ -155,7 +156,7 @@
 		So(err, ShouldBeNil)
 		So(received, ShouldResemble, sent)
 		So(got, ShouldResemble, answer)
-		So(observed, ShouldResemble, Observation{Peer: owner, Reports: reports, Counts: counts, Halts: halts})
+		So(observed, ShouldResemble, Observation{Peer: owner, Reports: reports, Counts: counts, Halts: halts, Leaving: handler.Leaving()})
 		So(taken, ShouldResemble, halts)
 
 		_, err = client.Heartbeat(t.Context(), owner, sent)
