Measure kills, pauses, stops, store outages and leaving targets

Cause: the behaviour under faults was only tested with fakes. Change: jujubemeasure runs queries and orders over four instances while one is killed, paused for 5 s or stopped, while the store hangs for 8 s, and while targets leave, and compares what callers were told with what the targets saw.

--- a/launcher/fleet.go
+++ b/launcher/fleet.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"slices"
 	"strings"
+	"syscall"
 	"time"
 
 	"github.com/samber/oops"
@@ -85,7 +86,7 @@
 	if err := f.startTargets(addresses[1 : 1+targets]); err != nil {
 		return nil, err
 	}
-	if err := f.startDaemons(addresses[1+targets:]); err != nil {
+	if err := f.startDaemons(ctx, addresses[1+targets:]); err != nil {
 		return nil, err
 	}
 	for _, caller := range f.Callers {
@@ -160,9 +161,15 @@
 Level = %q
 `
 
-func (f *Fleet) startDaemons(addresses []string) error {
+func (f *Fleet) startDaemons(ctx context.Context, addresses []string) error {
+	if err := Await(ctx, "http://"+f.Store+"/instances"); err != nil {
+		return err
+	}
 	for i := range f.Spec.Instances {
 		name := fmt.Sprintf("entry%d", i+1)
+		if err := f.listDaemon(ctx, name, addresses[2*i], addresses[2*i+1]); err != nil {
+			return err
+		}
 		settings := fmt.Sprintf(settingsFormat, name, f.Spec.DataCentres[i%len(f.Spec.DataCentres)],
 			addresses[2*i], addresses[2*i+1], f.Spec.FatalChecks, f.Store, f.Spec.ValidFor, f.Spec.LogLevel)
 		path, err := f.launcher.Write(name+".toml", settings)
@@ -274,3 +281,14 @@
 	}
 	return sum, nil
 }
+
+// Kill ends an instance without a chance to stop gracefully.
+func (f *Fleet) Kill(instance int) error {
+	p := f.Daemons[instance]
+	if err := p.Signal(syscall.SIGKILL); err != nil {
+		return oops.In("launcher").Wrap(err)
+	}
+	<-p.done
+	p.killed = true
+	return nil
+}
--- a/launcher/http.go
+++ b/launcher/http.go
@@ -31,7 +31,7 @@
 		return oops.In("launcher").Wrap(err)
 	}
 	defer response.Body.Close()
-	if response.StatusCode != http.StatusOK {
+	if response.StatusCode != http.StatusOK && response.StatusCode != http.StatusNoContent {
 		detail, _ := io.ReadAll(io.LimitReader(response.Body, 1<<10))
 		return oops.In("launcher").Errorf("%s %s: status %d: %s", method, url, response.StatusCode, detail)
 	}
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -30,6 +30,8 @@
 	output  *os.File
 	done    chan struct{}
 	err     error
+	// killed is set if the process was ended on purpose.
+	killed bool
 }
 
 // Launcher starts processes and ends them, by process ID.
@@ -96,6 +98,9 @@
 // Stop sends SIGTERM and waits for the end; it kills the process if that takes
 // too long and returns an error then.
 func (p *Process) Stop() error {
+	if p.killed {
+		return nil
+	}
 	_ = p.Signal(syscall.SIGTERM)
 	select {
 	case <-p.done:
--- a/measurer/query.go
+++ b/measurer/query.go
@@ -18,6 +18,11 @@
 	{"Cold", cold},
 	{"DataCentre", dataCentre},
 	{"Version", versions},
+	{"Crash", crash},
+	{"Pause", pause},
+	{"Leave", leave},
+	{"StoreOutage", storeOutage},
+	{"LeavingTarget", leavingTarget},
 	{"Processor", processor},
 }
 
