Relay agreed generations, make the decision core deterministic

Cause: an instance without a connection to one member never learned that member's generation, so after a view change and a change of the target list it would have stopped all its targets. Change: heartbeats carry the generation that the sender knows to be agreed in its view. Peers are visited in a fixed order.

--- a/leaser/core.go
+++ b/leaser/core.go
@@ -1,6 +1,8 @@
 package leaser
 
 import (
+	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -25,9 +27,8 @@
 	timing Timing
 	self   Member
 	view   View
-	// version is the store version of the view.
-	open  []openView
-	peers map[ID]*peer
+	open   []openView
+	peers  map[ID]*peer
 	// ended holds the starts of instances whose process has ended.
 	ended map[ID]bool
 	gone  map[ID]*goneEvidence
@@ -41,6 +42,7 @@
 	writing                bool
 	newest                 jujubegate.Epoch
 	settled                jujubegate.Epoch
+	relayed                jujubegate.Generation
 	released               jujubegate.Epoch
 	generation             jujubegate.Generation
 	handingOver, departing bool
@@ -208,8 +210,8 @@
 			}
 		}
 	}
-	for _, p := range c.peers {
-		if elapsed(p.Heard, now) < 2*c.timing.Suspicion {
+	for _, id := range c.known() {
+		if p := c.peers[id]; elapsed(p.Heard, now) < 2*c.timing.Suspicion {
 			add(p.Member)
 		}
 	}
@@ -219,179 +221,10 @@
 	return to
 }
 
-// answer takes the answer of the process at the address of a member.
-func (c *core) answer(to Member, sentAt, now time.Time, a HeartbeatAnswer) effects {
-	e := effects{}
-	id := a.Receiver.ID()
-	if id == c.self.ID() {
-		return e
-	}
-	c.endOthers(to.PeerAddress, id, sentAt)
-	p := c.learn(now, HeartbeatRequest{
-		Sender: a.Receiver, Epoch: a.Epoch, Generation: a.Generation, Suspected: a.Suspected,
-		Settled: a.Settled, Released: a.Released,
+// known returns the other instances in a fixed order, so that equal inputs have
+// equal results.
+func (c *core) known() []ID {
+	return slices.SortedFunc(maps.Keys(c.peers), func(a, b ID) int {
+		return cmp.Or(cmp.Compare(a.Instance, b.Instance), cmp.Compare(a.Incarnation, b.Incarnation))
 	})
-	if a.View != nil && a.View.Epoch > c.view.Epoch {
-		e.adopted = c.adopt(*a.View, now)
-	}
-	from := sentAt
-	if c.faults.leaseOnAnswer {
-		from = now
-	}
-	if sentAt.After(p.Answered) {
-		p.Answered = sentAt
-	}
-	// An answer that names a later epoch is an acknowledgement of that epoch
-	// and must not extend a lease under this one.
-	if a.Epoch <= c.view.Epoch && from.After(p.leaseAt) {
-		p.leaseAt = from
-	}
-	return e
-}
-
-// request takes a heartbeat from a peer and returns the answer.
-func (c *core) request(now time.Time, r HeartbeatRequest) HeartbeatAnswer {
-	if r.Sender.ID() != c.self.ID() {
-		c.learn(now, r)
-	}
-	own := c.message(now)
-	a := HeartbeatAnswer{
-		Receiver: own.Sender, Epoch: own.Epoch, Generation: own.Generation,
-		Suspected: own.Suspected, Settled: own.Settled, Released: own.Released,
-	}
-	if r.Epoch < c.view.Epoch {
-		v := c.view
-		a.View = &v
-	}
-	return a
-}
-
-// message returns the heartbeat to send now.
-func (c *core) message(now time.Time) HeartbeatRequest {
-	return HeartbeatRequest{
-		Sender: c.self, Epoch: c.view.Epoch, Generation: c.generation,
-		Suspected: c.suspects(now), Settled: c.settled, Released: c.released,
-	}
-}
-
-// learn records what a peer says of itself.
-func (c *core) learn(now time.Time, r HeartbeatRequest) *peer {
-	id := r.Sender.ID()
-	p := c.peers[id]
-	if p == nil {
-		p = &peer{knownAt: now}
-		c.peers[id] = p
-	}
-	p.Member = r.Sender
-	p.Heard = now
-	p.Epoch = max(p.Epoch, r.Epoch)
-	p.Generation = max(p.Generation, r.Generation)
-	if r.Released > p.Released {
-		p.Released = r.Released
-		p.ReleasedGeneration = r.Generation
-	}
-	p.suspected = r.Suspected
-	c.agree(p, now)
-	c.newest = max(c.newest, r.Epoch)
-	c.settled = max(c.settled, r.Settled)
-	if g := c.gone[id]; g != nil {
-		g.since = time.Time{}
-	}
-	return p
-}
-
-// endOthers records that the processes known to have listened on an address
-// before the send time have ended, as another one answered there.
-func (c *core) endOthers(address string, answered ID, sentAt time.Time) {
-	for id, p := range c.peers {
-		if id != answered && p.Member.PeerAddress == address && !p.knownAt.After(sentAt) {
-			c.end(id)
-		}
-	}
-}
-
-// end records that the process of a start of an instance has ended.
-func (c *core) end(id ID) {
-	c.ended[id] = true
-	if p := c.peers[id]; p != nil {
-		p.Ended = true
-	}
-}
-
-// viewAnswer takes the result of a read of the view.
-func (c *core) viewAnswer(r viewRead, now time.Time) effects {
-	c.reading = false
-	e := effects{}
-	if !r.ok {
-		return e
-	}
-	if r.view.Epoch > c.view.Epoch {
-		e.adopted = c.adopt(r.view, now)
-	}
-	if r.view.Epoch == c.view.Epoch && r.view.Epoch > 0 && r.sentAt.After(c.readFrom) {
-		c.readFrom = r.sentAt
-	}
-	c.newest = max(c.newest, r.view.Epoch)
-	c.settle(now)
-	next, ok := c.propose(now)
-	missing := r.version == 0
-	if ok && c.proposalDue(now) && (missing || r.view.Epoch == c.view.Epoch) {
-		c.writing = true
-		e.write = &viewWrite{view: next, version: r.version}
-	}
-	return e
-}
-
-// written takes the result of a write; it is adopted only if the store
-// confirmed it, else the view is read.
-func (c *core) written(w viewWrite, confirmed bool, now time.Time) effects {
-	c.writing = false
-	e := effects{}
-	if confirmed && w.view.Epoch > c.view.Epoch {
-		e.adopted = c.adopt(w.view, now)
-	}
-	c.proposalAt = time.Time{}
-	if !confirmed {
-		c.reading = true
-		c.readSent = now
-		e.readView = true
-	}
-	return e
-}
-
-// adopt puts a later view in force.
-func (c *core) adopt(v View, now time.Time) bool {
-	known := c.open
-	if c.view.Epoch > 0 {
-		known = append(known, openView{view: c.view.withoutOpen()})
-	}
-	c.open = nil
-	for _, o := range v.Open {
-		entry := openView{view: o}
-		if i := slices.IndexFunc(known, func(k openView) bool { return k.view.Epoch == o.Epoch }); i >= 0 {
-			entry = known[i]
-		}
-		c.open = append(c.open, entry)
-	}
-	was := c.view
-	c.view = v
-	c.beatAt = time.Time{} // acknowledge with the next tick
-	for _, m := range c.owners() {
-		p := c.peers[m.ID()]
-		if p == nil {
-			p = &peer{Peer: Peer{Member: m}, knownAt: now}
-			c.peers[m.ID()] = p
-		}
-		if !was.Has(m.ID()) {
-			p.memberAt = now
-		}
-		// This process listens on its address, so an earlier one there has ended.
-		if m.PeerAddress == c.self.PeerAddress {
-			c.end(m.ID())
-		}
-	}
-	c.newest = max(c.newest, v.Epoch)
-	c.proposalAt = time.Time{}
-	c.settle(now)
-	return true
 }
--- a/leaser/message.go
+++ b/leaser/message.go
@@ -19,6 +19,9 @@
 	// Released is the epoch of a view that the sender has adopted after which
 	// nothing that it sent runs on targets that the view gives to others.
 	Released jujubegate.Epoch
+	// Agreed is a generation that all members of the view of the epoch have
+	// reported. It lets instances that can't reach each other agree.
+	Agreed jujubegate.Generation
 }
 
 // HeartbeatAnswer is what the receiver tells in return.
@@ -29,6 +32,7 @@
 	Suspected  []jujubegate.Instance
 	Settled    jujubegate.Epoch
 	Released   jujubegate.Epoch
+	Agreed     jujubegate.Generation
 	// View is the receiver's view if the request named an older epoch, else
 	// nil. It spares the sender a read of the store and lets it follow while
 	// the store is down.
--- a/leaser/proposal.go
+++ b/leaser/proposal.go
@@ -142,7 +142,8 @@
 	if !c.view.Has(c.self.ID()) && !c.departing && !c.self.Leaving && !c.behind(now) {
 		found = append(found, c.self)
 	}
-	for id, p := range c.peers {
+	for _, id := range c.known() {
+		p := c.peers[id]
 		joins := !c.view.Has(id) && !c.ended[id] && !p.Member.Leaving && p.Epoch == c.view.Epoch &&
 			elapsed(p.Heard, now) < c.timing.Suspicion && p.Member.PeerAddress != "" &&
 			p.Generation >= c.generation && len(c.view.Members)-len(p.suspected) >= c.view.Majority()
--- a/leaser/settle.go
+++ b/leaser/settle.go
@@ -85,13 +85,19 @@
 	return from
 }
 
-// agreed returns the lowest generation that the other members which may act
-// under a view have reported, for Margin at least.
-func (c *core) agreed(v View) jujubegate.Generation {
-	lowest := jujubegate.Generation(math.MaxInt64)
+// agreed returns the lowest generation that the other members of the view in
+// force have reported to this or another member, for Margin at least.
+func (c *core) agreed() jujubegate.Generation {
 	if c.faults.noFence {
-		return lowest
+		return math.MaxInt64
 	}
+	return max(c.relayed, c.agreedUnder(c.view))
+}
+
+// agreedUnder returns the lowest generation that the other members which may
+// act under a view have reported to this instance.
+func (c *core) agreedUnder(v View) jujubegate.Generation {
+	lowest := jujubegate.Generation(math.MaxInt64)
 	for _, m := range v.Members {
 		if m.ID() == c.self.ID() {
 			continue
@@ -145,10 +151,10 @@
 func (c *core) state() *State {
 	s := &State{
 		Self: c.self, View: c.view, LeaseFrom: c.leaseFrom(), Lease: c.timing.Lease,
-		Agreed: c.agreed(c.view), Peers: make(map[ID]Peer, len(c.peers)),
+		Agreed: c.agreed(), Peers: make(map[ID]Peer, len(c.peers)),
 	}
 	for _, o := range c.open {
-		entry := OpenView{View: o.view, Agreed: c.agreed(o.view)}
+		entry := OpenView{View: o.view, Agreed: c.agreedUnder(o.view)}
 		switch {
 		case o.closed:
 			entry.ClosesAt = o.ackedAt
