Tell from when an instance may use a target it takes over

Cause: status output and the cold start of a taken-over target need the moment from which the new owner may send. Change: Ownership.UsableFrom. Listed and Generation of leaser.Options may be nil. Conclusion: agrees with MaySend in all cases of TestOwnershipMaySend.

--- a/assigner/ownership.go
+++ b/assigner/ownership.go
@@ -125,6 +125,33 @@
 	return true
 }
 
+// UsableFrom returns the moment from which this instance may use a target that
+// the view in force gives to it, provided that its lease holds. It is now if
+// nothing stands in the way, and earlier than told if previous owners release.
+// It returns false if another instance owns the target, or if an open view has
+// no end yet or a member has not reported the configuration.
+func (o *Ownership) UsableFrom(address jujubegate.Address, now time.Time) (time.Time, bool) {
+	s, t := o.current()
+	owners := t.entries[address]
+	if len(owners) == 0 || owners[0].owner != s.Self.ID() || s.Agreed < owners[0].since {
+		return time.Time{}, false
+	}
+	from := now
+	for _, e := range owners[1:] {
+		if yielded(s, e, t.generation, now) {
+			continue
+		}
+		i := slices.IndexFunc(s.Open, func(v leaser.OpenView) bool { return v.View.Epoch == e.epoch })
+		if s.Open[i].ClosesAt.IsZero() {
+			return time.Time{}, false
+		}
+		if s.Open[i].ClosesAt.After(from) {
+			from = s.Open[i].ClosesAt
+		}
+	}
+	return from, true
+}
+
 // Owner returns the member that owns the target under the view in force here.
 // It may still be waiting to take the target over.
 func (o *Ownership) Owner(address jujubegate.Address) (leaser.Member, bool) {
--- a/assigner/ownership_test.go
+++ b/assigner/ownership_test.go
@@ -72,6 +72,11 @@
 				o.SetTargets(1, []jujubegate.Target{target})
 				So(o.MaySend("a:1", start.Add(c.after)), ShouldEqual, c.may)
 				So(o.MaySend("b:1", start.Add(c.after)), ShouldBeFalse)
+				if from, known := o.UsableFrom("a:1", start.Add(c.after)); known {
+					So(o.MaySend("a:1", from), ShouldEqual, s.Owns(from))
+				} else {
+					So(c.may, ShouldBeFalse)
+				}
 				m, _ := o.Owner("a:1")
 				So(m.Instance, ShouldEqual, own.Instance)
 			})
--- a/leaser/leaser.go
+++ b/leaser/leaser.go
@@ -32,10 +32,10 @@
 	Heartbeat func(ctx context.Context, to Member, r HeartbeatRequest) (HeartbeatAnswer, error)
 	Store     storer.Store
 	Clock     jujubegate.Clock
-	// Listed reads the platform's list of instances; false if it failed.
+	// Listed reads the platform's list of instances; false if it failed. It may be nil.
 	Listed func(ctx context.Context) (Listing, bool)
 	// Generation returns the configuration generation that this instance
-	// decides ownership by; see assigner.Ownership.Generation.
+	// decides ownership by; see assigner.Ownership.Generation. It may be nil.
 	Generation func() jujubegate.Generation
 	// OnGeneration is called when a member reports a later generation. It must
 	// not block. It may be nil.
@@ -67,6 +67,12 @@
 	if o.Timing == (Timing{}) {
 		o.Timing = DefaultTiming()
 	}
+	if o.Listed == nil {
+		o.Listed = func(context.Context) (Listing, bool) { return Listing{}, false }
+	}
+	if o.Generation == nil {
+		o.Generation = func() jujubegate.Generation { return 0 }
+	}
 	if o.Logger == nil {
 		o.Logger = zap.NewNop()
 	}
