--- a/leaser/leaser.go
+++ b/leaser/leaser.go
@@ -32,15 +32,16 @@
 	Heartbeat func(ctx context.Context, to Member, r HeartbeatRequest) (HeartbeatAnswer, error)
 	Store     storer.Store
 	Clock     jujubegate.Clock
-	// Listed reads the platform's list of instances; false if it failed.
+	// Listed reads the platform's list of instances; false if it failed. It may be nil.
 	Listed func(ctx context.Context) (Listing, bool)
 	// Generation returns the configuration generation that this instance
-	// decides ownership by; see assigner.Ownership.Generation.
+	// decides ownership by; see assigner.Ownership.Generation. It may be nil.
 	Generation func() jujubegate.Generation
 	// OnGeneration is called when a member reports a later generation. It must
 	// not block. It may be nil.
 	OnGeneration func(member Member, generation jujubegate.Generation)
-	// OnView is called after a view came into force. It must not block. It may be nil.
+	// OnView is called after a view came into force, sometimes twice with the
+	// same one. It must not block. It may be nil.
 	OnView func(v View)
 	// Drained waits until nothing runs on targets that the view gives to
 	// others. Leave calls it before the release. It may be nil.
@@ -66,6 +67,12 @@
 	if o.Timing == (Timing{}) {
 		o.Timing = DefaultTiming()
 	}
+	if o.Listed == nil {
+		o.Listed = func(context.Context) (Listing, bool) { return Listing{}, false }
+	}
+	if o.Generation == nil {
+		o.Generation = func() jujubegate.Generation { return 0 }
+	}
 	if o.Logger == nil {
 		o.Logger = zap.NewNop()
 	}
--- a/leaser/proposal.go
+++ b/leaser/proposal.go
@@ -24,6 +24,10 @@
 // with a majority of the members, ended ones counted, so that an instance that
 // is cut off from the others does not change the view although it reaches the
 // store. These conditions keep the view steady; safety doesn't depend on them.
+//
+// Safety does depend on the store keeping the object: if it were lost, an
+// instance that starts would begin again at epoch 1 beside the members of the
+// lost view. Members that know a view write its successor instead.
 func (c *core) propose(now time.Time) (View, bool) {
 	if c.newest > c.view.Epoch || len(c.open) >= maxOpenViews || !c.inContact(now) {
 		return View{}, false
@@ -142,7 +146,8 @@
 	if !c.view.Has(c.self.ID()) && !c.departing && !c.self.Leaving && !c.behind(now) {
 		found = append(found, c.self)
 	}
-	for id, p := range c.peers {
+	for _, id := range c.known() {
+		p := c.peers[id]
 		joins := !c.view.Has(id) && !c.ended[id] && !p.Member.Leaving && p.Epoch == c.view.Epoch &&
 			elapsed(p.Heard, now) < c.timing.Suspicion && p.Member.PeerAddress != "" &&
 			p.Generation >= c.generation && len(c.view.Members)-len(p.suspected) >= c.view.Majority()
