--- /dev/null
+++ b/examples/examples_test.go
@@ -0,0 +1,149 @@
+// Package examples holds statements and settings to start from. Its tests keep
+// them valid.
+package examples
+
+import (
+	"maps"
+	"os"
+	"slices"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"jujubegate.example/jujubegate"
+	"jujubegate.example/jujubegate/configurator"
+	"jujubegate.example/jujubegate/loader"
+	"jujubegate.example/jujubegate/parser"
+)
+
+// size is what an example declares for a service.
+type size struct {
+	shards, targets, slots, connections int
+}
+
+var statementFiles = []struct {
+	file        string
+	dataCentres []jujubegate.DataCentre
+	sizes       map[jujubegate.Service]size
+}{
+	{
+		file:        "pechka.jgs",
+		dataCentres: []jujubegate.DataCentre{"Haskovo", "Kardzhali", "Sliven", "Smolyan"},
+		sizes: map[jujubegate.Service]size{
+			"DispatchDesk": {20, 40, 2, 25},
+			"Invoicing":    {30, 60, 2, 25},
+			"Scheduler":    {1, 10, 3, 100},
+			"PelletOrders": {1, 5, 3, 100},
+		},
+	},
+	{
+		file:        "zandloper.jgs",
+		dataCentres: []jujubegate.DataCentre{"Amersfoort", "Utrecht", "Zeist"},
+		sizes: map[jujubegate.Service]size{
+			"PartsFinder":   {20, 40, 2, 25},
+			"MembersPortal": {30, 60, 2, 25},
+			"RepairLog":     {1, 10, 2, 35},
+			"InvoicingDesk": {1, 5, 2, 35},
+		},
+	},
+	{
+		file:        "start.jgs",
+		dataCentres: []jujubegate.DataCentre{"Sliven"},
+		sizes:       map[jujubegate.Service]size{"DispatchDesk": {2, 4, 2, 25}},
+	},
+}
+
+// apply returns the configuration that the file declares.
+func apply(file string) (configurator.Configuration, string) {
+	text, err := os.ReadFile(file)
+	So(err, ShouldBeNil)
+	batch, findings := parser.Parse(file, string(text))
+	So(findings, ShouldBeEmpty)
+	c, findings := configurator.Configuration{}.Apply(batch, time.Unix(0, 0))
+	So(findings, ShouldBeEmpty)
+	return c, string(text)
+}
+
+func TestStatements(t *testing.T) {
+	// Guards against examples that the current language or the rules of the
+	// configuration refuse, or that differ from the sizes of the design page.
+	for _, example := range statementFiles {
+		Convey(example.file, t, func() {
+			c, text := apply(example.file)
+
+			Convey("is in canonical form", func() {
+				formatted, findings := parser.Format(text)
+				So(findings, ShouldBeEmpty)
+				So(formatted, ShouldEqual, text)
+			})
+			Convey("declares the services with their sizes", func() {
+				sizes := make(map[jujubegate.Service]size)
+				for _, s := range c.Services() {
+					targets := c.Serving(s.Name, configurator.OldVersion, nil)
+					sizes[s.Name] = size{s.Shards, len(targets), s.Slots, s.Connections}
+				}
+				So(sizes, ShouldResemble, example.sizes)
+			})
+			Convey("covers every shard", func() {
+				for _, s := range c.Services() {
+					covered, missing := c.Coverage(s.Name, configurator.OldVersion)
+					So(covered, ShouldEqual, s.Shards)
+					So(missing, ShouldBeEmpty)
+				}
+			})
+			Convey("has both kinds of routes for each service", func() {
+				type kind struct {
+					service    jujubegate.Service
+					idempotent bool
+				}
+				kinds := make(map[kind]int)
+				for _, r := range c.Routes() {
+					kinds[kind{r.Service, r.Idempotent}]++
+				}
+				for _, s := range c.Services() {
+					So(kinds[kind{s.Name, true}], ShouldBeGreaterThan, 0)
+					So(kinds[kind{s.Name, false}], ShouldBeGreaterThan, 0)
+				}
+			})
+			Convey("uses all data centres", func() {
+				used := make(map[jujubegate.DataCentre]bool)
+				for _, target := range c.Targets() {
+					used[target.DataCentre] = true
+				}
+				So(slices.Sorted(maps.Keys(used)), ShouldResemble, example.dataCentres)
+			})
+		})
+	}
+}
+
+func TestCoverageWithoutADataCentre(t *testing.T) {
+	// Guards against examples in which a data centre can't be taken out
+	// because both targets of a shard are in it.
+	for _, example := range statementFiles[:2] {
+		for _, out := range example.dataCentres {
+			Convey(example.file+" without "+string(out), t, func() {
+				c, _ := apply(example.file)
+				batch, findings := parser.Parse("", "TakeOut DataCentre "+string(out)+";")
+				So(findings, ShouldBeEmpty)
+				c, findings = c.Apply(batch, time.Unix(0, 0))
+				So(findings, ShouldBeEmpty)
+				for _, s := range c.Services() {
+					_, missing := c.Coverage(s.Name, configurator.OldVersion)
+					So(missing, ShouldBeEmpty)
+				}
+			})
+		}
+	}
+}
+
+func TestSettings(t *testing.T) {
+	// Guards against a settings file that the daemon refuses.
+	Convey("jujubegated.toml loads", t, func() {
+		s, err := loader.Load("jujubegated.toml")
+		So(err, ShouldBeNil)
+		So(s.Instance, ShouldEqual, jujubegate.Instance("entry1"))
+		So(s.Lookup.ValidFor, ShouldEqual, 30*time.Second)
+		So(s.FatalChecks, ShouldBeFalse)
+	})
+}
