--- a/cmd/jujubemeasure/main.go
+++ b/cmd/jujubemeasure/main.go
@@ -19,6 +19,7 @@
 type options struct {
 	Binaries string   `long:"bin" description:"directory of the programs" default:"bin"`
 	Out      string   `long:"out" description:"Markdown file to write; none if empty"`
+	Capacity string   `long:"capacity" description:"Markdown file whose table of the future size is written anew; other measurements don't run"`
 	Only     []string `long:"only" description:"name of a measurement to run; repeat for more (default: all)"`
 }
 
@@ -44,6 +45,9 @@
 func run(o options) error {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
+	if o.Capacity != "" {
+		return measurer.RunCapacity(ctx, o.Capacity, os.Stdout)
+	}
 	figures, err := measurer.Run(ctx, o.Binaries, jujubegate.NewSet(o.Only...), os.Stdout)
 	if err != nil {
 		return err
