Place targets without local members after the others

Cause: the targets of a data centre without members were placed among the others and took their room, so that the loss of a member also moved targets between the remaining members. With the other replica on the lost member, a shard had no owner for about a second. Change: Assign places targets with local members first. A test checks that the loss of a member moves only its own targets when each data centre has one; it fails without the change.

--- a/assigner/assign.go
+++ b/assigner/assign.go
@@ -81,8 +81,8 @@
 		group := sorted[:groupLen(sorted)]
 		sorted = sorted[len(group):]
 		p := newPlacement(members, group)
+		p.placeAll()
 		for i, t := range group {
-			p.place(i, p.local(i))
 			if m := p.owner[i]; m >= 0 {
 				a.owners[t.Address] = m
 				a.owned[members[m].Instance] = append(a.owned[members[m].Instance], t)
@@ -186,13 +186,40 @@
 // local returns the members in the data centre of the target.
 func (p *placement) local(i int) []int { return p.pools[p.targets[i].DataCentre] }
 
-// place chooses the owner of a target; those of the targets before are chosen.
+// placeAll chooses all owners. Targets of data centres without members come
+// last: placed among the others, they took the room of local targets, and the
+// loss of a member moved targets between the remaining ones.
+func (p *placement) placeAll() {
+	for i := range p.owner {
+		p.owner[i] = -1
+	}
+	for i := range p.targets {
+		if local := p.local(i); len(local) > 0 {
+			p.place(i, local)
+		}
+	}
+	for i := range p.targets {
+		if len(p.local(i)) == 0 {
+			p.place(i, nil)
+		}
+	}
+}
+
+// replicas returns the owners of all replicas of the target's shard.
+func (p *placement) replicas(i int) []int {
+	first, end := i-p.ranks[i], i+1
+	for end < len(p.targets) && p.ranks[end] > 0 {
+		end++
+	}
+	return p.owner[first:end]
+}
+
+// place chooses the owner of one target.
 func (p *placement) place(i int, local []int) {
 	t := p.targets[i]
-	first := i - p.ranks[i]
+	taken := p.replicas(i)
 	key := p.key(i)
 	limit := p.room[t.DataCentre]
-	p.owner[i] = -1
 	for _, try := range []struct {
 		from     []int
 		limit    int
@@ -207,7 +234,7 @@
 	} {
 		best, found := uint64(0), -1
 		for _, m := range try.from {
-			if p.load[m] >= try.limit || !try.replicas && slices.Contains(p.owner[first:i], m) {
+			if p.load[m] >= try.limit || !try.replicas && slices.Contains(taken, m) {
 				continue
 			}
 			if score := mix(key ^ p.hashes[m]); found < 0 || score > best {
--- a/assigner/assign_test.go
+++ b/assigner/assign_test.go
@@ -228,3 +228,23 @@
 		}
 	})
 }
+
+func TestAssignKeepsRemainingTargets(t *testing.T) {
+	// Guards against targets that move between the remaining members when one
+	// goes: with the replica on the lost one, their shards had no owner at all.
+	Convey("With one member in each data centre, the loss of one moves only its targets", t, func() {
+		view, targets := fleet(4, 4), replicas(20, 2, 4)
+		before := Assign(view, targets)
+		for gone := range view.Members {
+			left := leaser.View{Epoch: 2, Members: slices.Delete(slices.Clone(view.Members), gone, gone+1)}
+			after := Assign(left, targets)
+			for _, target := range targets {
+				was, _ := before.Owner(target.Address)
+				is, _ := after.Owner(target.Address)
+				if was.ID() != view.Members[gone].ID() {
+					So(is.ID(), ShouldResemble, was.ID())
+				}
+			}
+		}
+	})
+}
