Carry agreed generations in heartbeats

Cause: the field was added to the membership messages, but the wire messages dropped it, so that instances which cannot reach each other took longer to use moved targets. Change: the heartbeat and its answer carry it. Measured: go test -race ./transporter passes with the field in the round trip.

--- a/transporter/heartbeat.go
+++ b/transporter/heartbeat.go
@@ -62,6 +62,7 @@
 		ReportsAfter:       known.reports,
 		ReportsIncarnation: known.incarnation,
 		Halts:              encodeHalts(c.Halts()),
+		Agreed:             int64(r.Agreed),
 	}
 	response, err := c.peer(to.PeerAddress).Heartbeat(ctx, connect.NewRequest(request))
 	if err != nil {
@@ -84,6 +85,7 @@
 		Suspected:  decodeInstances(answer.GetSuspected()),
 		Settled:    jujubegate.Epoch(answer.GetSettled()),
 		Released:   jujubegate.Epoch(answer.GetReleased()),
+		Agreed:     jujubegate.Generation(answer.GetAgreed()),
 		View:       decodeView(answer.GetView()),
 	}, nil
 }
@@ -98,6 +100,7 @@
 		Suspected:  decodeInstances(r.GetSuspected()),
 		Settled:    jujubegate.Epoch(r.GetSettled()),
 		Released:   jujubegate.Epoch(r.GetReleased()),
+		Agreed:     jujubegate.Generation(r.GetAgreed()),
 	})
 	h.TakeHalts(decodeHalts(r.GetHalts()))
 	after := r.GetReportsAfter()
@@ -119,6 +122,7 @@
 		Halts:       encodeHalts(h.Halts()),
 
 		LeavingTargets: encodeAddresses(h.Leaving()),
+		Agreed:         int64(a.Agreed),
 	}), nil
 }
 
--- a/transporter/transporter_test.go
+++ b/transporter/transporter_test.go
@@ -119,11 +119,11 @@
 		client, handler, owner := newPair(t)
 		sent := leaser.HeartbeatRequest{
 			Sender: leaser.Member{Instance: "root", Incarnation: "2", DataCentre: "Sliven", Leaving: true},
-			Epoch:  4, Generation: 5, Suspected: []jujubegate.Instance{"x"}, Settled: 2, Released: 3,
+			Epoch:  4, Generation: 5, Suspected: []jujubegate.Instance{"x"}, Settled: 2, Released: 3, Agreed: 5,
 		}
 		view := leaser.View{Epoch: 6, Members: []leaser.Member{owner}, Open: []leaser.View{{Epoch: 5, Members: []leaser.Member{owner}}}}
 		answer := leaser.HeartbeatAnswer{
-			Receiver: owner, Epoch: 6, Generation: 7, Suspected: []jujubegate.Instance{"y"}, Settled: 3, Released: 4, View: &view,
+			Receiver: owner, Epoch: 6, Generation: 7, Suspected: []jujubegate.Instance{"y"}, Settled: 3, Released: 4, Agreed: 5, View: &view,
 		}
 		reports := []jujubegate.TargetReport{{
 			Target: "127.0.0.1:1", State: jujubegate.Cold, InFlight: 1, Queued: 2, Limit: 1,
