Give up on owners that are silent on all streams

Cause: a paused owner keeps its connections open. Until heartbeats were missed, its share of every query waited for the deadline, and hedges ran out of tokens. Change: a stream whose owner has sent nothing on any stream for 250 ms is cancelled and the owner is not used until it answers a later heartbeat; retries after a lost stream may borrow from the budget, as reruns do. Streams of orders are left alone.

--- a/assembler/daemon.go
+++ b/assembler/daemon.go
@@ -66,6 +66,7 @@
 	advertiser *advertiser.Advertiser
 	reports    *reportBook
 	peers      *peerBook
+	lifeSigns  *lifeSigns
 	tally      *mover.Tally
 	evidence   *mover.Fleet
 	listing    listing
@@ -89,7 +90,7 @@
 
 // New connects the parts of an instance; Run starts them.
 func New(settings loader.Settings, clock jujubegate.Clock, logger *zap.Logger) (*Daemon, error) {
-	d := &Daemon{settings: settings, clock: clock, logger: logger, reports: newReportBook(), peers: newPeerBook()}
+	d := &Daemon{settings: settings, clock: clock, logger: logger, reports: newReportBook(), peers: newPeerBook(), lifeSigns: newLifeSigns()}
 	d.self = leaser.Member{
 		Instance:      settings.Instance,
 		Incarnation:   uuid.NewString(),
--- a/assembler/route.go
+++ b/assembler/route.go
@@ -27,12 +27,14 @@
 		return nil
 	}
 	sent := d.clock.Now()
-	err := d.client.Dispatch(ctx, owner, batch, func(results []jujubegate.SubResult, reports []jujubegate.TargetReport) {
-		d.forgetDisowned(owner, results)
+	watched, done := d.watchOwner(ctx, owner.ID(), sent, batch.Order)
+	defer done()
+	err := d.client.Dispatch(watched, owner, batch, func(results []jujubegate.SubResult, reports []jujubegate.TargetReport) {
+		d.noteResults(owner, results)
 		deliver(results, reports)
 	})
 	if err != nil && ctx.Err() == nil {
-		d.peers.fail(owner.ID(), sent)
+		d.peers.fail(owner.ID(), d.clock.Now())
 	}
 	return err
 }
--- a/querier/handle.go
+++ b/querier/handle.go
@@ -25,9 +25,11 @@
 	for _, sub := range r.streams[e.stream].subs {
 		if a := &r.shards[sub.Shard].attempts[sub.Attempt-1]; !a.ended {
 			r.end(now, sub.Shard, a, balancer.Failed)
+			r.lostOwner = true
 			r.failed(now, sub.Shard, a, &jujubegate.Refusal{
 				Reason: jujubegate.TargetDown, Outcome: jujubegate.Unknown, Detail: detail,
 			})
+			r.lostOwner = false
 		}
 	}
 }
@@ -188,7 +190,10 @@
 	if !r.hasUntried(shard) {
 		return false
 	}
-	if !r.q.Hedger.TakeRetry(now) {
+	// The loss of an owner fails its share of all queries at once, for which
+	// the saved tokens do not last.
+	paid := r.q.Hedger.TakeRetry(now) || r.lostOwner && r.q.Hedger.Borrow(now, 1)
+	if !paid {
 		r.q.Counters.NoBudget.Add(1)
 		return false
 	}
--- a/querier/run.go
+++ b/querier/run.go
@@ -35,9 +35,11 @@
 	// moving says, and that version is stopped meanwhile.
 	fallback versions
 	moving   bool
-	snapshot jujubegate.Snapshot
-	merger   merger.Merger
-	chooser  merger.Chooser
+	// lostOwner is set while the loss of a stream is handled.
+	lostOwner bool
+	snapshot  jujubegate.Snapshot
+	merger    merger.Merger
+	chooser   merger.Chooser
 	// current is the plan in force, which a query follows for new attempts.
 	current *plan
 	known   []knownCandidate
