Let callers give up on an address that does not answer

Cause: a caller that asked a paused instance waited for its whole timeout, and a look-up could hang at it too. Change: the callers' client gives each try its part of the time left, bounds a look-up at one address to 300 ms, and avoids an address for 5 s after a failure unless there is no other.

--- a/asker/asker.go
+++ b/asker/asker.go
@@ -33,6 +33,8 @@
 	addresses []string
 	expires   time.Time
 	next      int
+	// failed holds when an address last failed.
+	failed map[string]time.Time
 }
 
 // New returns an asker that learns addresses from the seeds, which are
@@ -40,7 +42,7 @@
 func New(seeds []string, dataCentre jujubegate.DataCentre, caller jujubegate.Caller, clock jujubegate.Clock) *Asker {
 	transport := &http.Transport{MaxIdleConnsPerHost: 64, IdleConnTimeout: time.Minute}
 	client := &http.Client{Transport: transport}
-	return &Asker{Do: client.Do, clock: clock, seeds: seeds, dataCentre: dataCentre, caller: caller}
+	return &Asker{Do: client.Do, clock: clock, seeds: seeds, dataCentre: dataCentre, caller: caller, failed: make(map[string]time.Time)}
 }
 
 // Query sends a query to one address and, if it was refused with outcome
@@ -97,27 +99,48 @@
 		refusal.Reason != jujubegate.Duplicate && refusal.Reason != jujubegate.Expired
 }
 
-// maxTries bounds the addresses that one request is sent to.
-const maxTries = 3
+const (
+	// maxTries bounds the addresses that one request is sent to.
+	maxTries = 3
+	// lookUpTimeout bounds the look-up at one address.
+	lookUpTimeout = 300 * time.Millisecond
+	// avoidTime is how long an address that failed is not used, although a
+	// look-up may still give it out.
+	avoidTime = 5 * time.Second
+)
 
 func (a *Asker) try(ctx context.Context, path string, request, answer any, again func(error) bool) error {
 	var err error
-	for range maxTries {
+	for left := maxTries; left > 0; left-- {
 		var address string
 		if address, err = a.address(ctx); err != nil {
 			return err
 		}
-		if err = a.send(ctx, address, path, request, answer); err == nil {
+		if err = a.attempt(ctx, left, address, path, request, answer); err == nil {
 			return nil
 		}
-		if ctx.Err() != nil || !again(err) || final(err) {
+		if final(err) {
 			return err
 		}
 		a.forget(address)
+		if ctx.Err() != nil || !again(err) {
+			return err
+		}
 	}
 	return err
 }
 
+// attempt sends the request to one address. It takes at most its part of the
+// time left, because an instance that is paused does not refuse anything.
+func (a *Asker) attempt(ctx context.Context, triesLeft int, address, path string, request, answer any) error {
+	if deadline, ok := ctx.Deadline(); ok {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, time.Until(deadline)/time.Duration(triesLeft))
+		defer cancel()
+	}
+	return a.send(ctx, address, path, request, answer)
+}
+
 // final reports whether another instance would refuse for the same reason.
 func final(err error) bool {
 	var refusal *jujubegate.Refusal
@@ -141,7 +164,7 @@
 		a.next++
 		return a.addresses[a.next%len(a.addresses)], nil
 	}
-	sources := append(append([]string(nil), a.addresses...), a.seeds...)
+	sources := a.withoutAvoided(append(append([]string(nil), a.addresses...), a.seeds...))
 	a.mu.Unlock()
 	return a.lookUp(ctx, sources)
 }
@@ -152,7 +175,9 @@
 	failures := make([]error, 0, len(sources))
 	for _, source := range sources {
 		var answer AddressesAnswer
-		err := a.send(ctx, source, path, nil, &answer)
+		call, cancel := context.WithTimeout(ctx, lookUpTimeout)
+		err := a.send(call, source, path, nil, &answer)
+		cancel()
 		if err == nil && len(answer.Addresses) > 0 {
 			return a.keep(answer), nil
 		}
@@ -164,16 +189,33 @@
 func (a *Asker) keep(answer AddressesAnswer) string {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.addresses = answer.Addresses
+	a.addresses = a.withoutAvoided(answer.Addresses)
 	a.expires = a.clock.Now().Add(time.Duration(answer.ValidForMs) * time.Millisecond)
 	a.next++
 	return a.addresses[a.next%len(a.addresses)]
 }
 
-// forget drops an address that failed until the next look-up.
+// withoutAvoided drops addresses that failed recently, unless all have. The
+// caller holds the lock.
+func (a *Asker) withoutAvoided(addresses []string) []string {
+	now := a.clock.Now()
+	kept := make([]string, 0, len(addresses))
+	for _, address := range addresses {
+		if failed, ok := a.failed[address]; !ok || now.Sub(failed) >= avoidTime {
+			kept = append(kept, address)
+		}
+	}
+	if len(kept) == 0 {
+		return addresses
+	}
+	return kept
+}
+
+// forget drops an address that failed.
 func (a *Asker) forget(address string) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	a.failed[address] = a.clock.Now()
 	kept := make([]string, 0, len(a.addresses))
 	for _, other := range a.addresses {
 		if other != address {
