Check promises at run time by the names that the recorder knows

Cause: the querier, the orderer and the limiter reported violations by names that the recorder does not know, which panics for any setting, and five counters had no caller. Change: the parts use the recorder's names. OwnAnswer and TrueRefusal, which nothing can check at run time, are gone, and Limit is new. The order limit is this instance's part of 200 store writes a second. Conclusion: a reading of 0 now means something for these counters.

--- a/assembler/daemon.go
+++ b/assembler/daemon.go
@@ -39,9 +39,11 @@
 	// cell names the group of instances that share a membership view. A fleet
 	// of up to 32 instances is one cell.
 	cell = "Fleet"
-	// orderWritesPerSecond is this instance's share of the store's several
-	// hundred writes a second.
-	orderWritesPerSecond = 40
+	// fleetOrderWrites is the number of store writes a second that all orders
+	// may take: half of the several hundred that the store takes.
+	fleetOrderWrites = 200
+	// orderBurst is the least burst of order writes, those of two orders.
+	orderBurst = 4
 	// upkeepInterval is the time between two checks of which owned targets may
 	// be used. A takeover or a lost lease is acted on within it.
 	upkeepInterval = 100 * time.Millisecond
@@ -67,6 +69,7 @@
 	reports    *reportBook
 	peers      *peerBook
 	lifeSigns  *lifeSigns
+	checks     *sendChecks
 	tally      *mover.Tally
 	evidence   *mover.Fleet
 	listing    listing
@@ -90,7 +93,7 @@
 
 // New connects the parts of an instance; Run starts them.
 func New(settings loader.Settings, clock jujubegate.Clock, logger *zap.Logger) (*Daemon, error) {
-	d := &Daemon{settings: settings, clock: clock, logger: logger, reports: newReportBook(), peers: newPeerBook(), lifeSigns: newLifeSigns()}
+	d := &Daemon{settings: settings, clock: clock, logger: logger, reports: newReportBook(), peers: newPeerBook(), lifeSigns: newLifeSigns(), checks: newSendChecks()}
 	d.self = leaser.Member{
 		Instance:      settings.Instance,
 		Incarnation:   uuid.NewString(),
@@ -190,7 +193,7 @@
 	q.Cancel = d.cancel
 	q.Violation = d.violation
 	d.querier = q
-	d.orderer = orderer.New(d.store.Store, q, d.clock, rate.Limit(orderWritesPerSecond), d.logger)
+	d.orderer = orderer.New(d.store.Store, q, d.clock, rate.Limit(fleetOrderWrites), d.logger)
 	d.orderer.Violation = d.violation
 }
 
@@ -201,7 +204,12 @@
 	d.handler.CancelRun = d.dispatcher.Cancel
 	d.handler.ReportsSince = func(mark uint64) ([]jujubegate.TargetReport, uint64) {
 		reports, next := d.dispatcher.ReportsSince(dispatcher.Mark(mark))
-		return reports, uint64(next)
+		usable := d.usableReports(reports)
+		if len(usable) < len(reports) {
+			// What is withheld now must be sent once the targets may be used.
+			return usable, mark
+		}
+		return usable, uint64(next)
 	}
 	d.handler.Counts = d.movingCounts
 	d.handler.Halts = d.halts.List
--- a/assembler/listing.go
+++ b/assembler/listing.go
@@ -55,6 +55,7 @@
 
 // drainTargets stops new work to targets that leave.
 func (d *Daemon) drainTargets(leaving []jujubegate.Address) {
+	d.checks.noteLeaving(d.clock.Now(), leaving)
 	for _, target := range leaving {
 		d.dispatcher.Drain(target)
 	}
--- a/assembler/move.go
+++ b/assembler/move.go
@@ -28,9 +28,12 @@
 	return d.follower.Current().Allows(t) && !d.halts.Halted(t.Service, t.Version)
 }
 
-// finished counts the end of a request for the judgement of its version.
+// finished checks a request that reached its target and counts its end for the
+// judgement of its version.
 func (d *Daemon) finished(t jujubegate.Target, route jujubegate.Route, running int, failed bool, took time.Duration) {
-	d.tally.Observe(t, route, running, failed, took, d.clock.Now())
+	now := d.clock.Now()
+	d.checkSend(t, now.Add(-took))
+	d.tally.Observe(t, route, running, failed, took, now)
 }
 
 // warm reports whether a target of this instance is warm. Cold ones are slow
--- a/assembler/route.go
+++ b/assembler/route.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"jujubegate.example/jujubegate"
 	"jujubegate.example/jujubegate/leaser"
 	"jujubegate.example/jujubegate/transporter"
@@ -67,10 +69,13 @@
 
 // observe takes what a peer says about its targets and their versions.
 func (d *Daemon) observe(o transporter.Observation) {
+	d.checkOwners(o)
 	d.reports.put(o.Peer.ID(), o.Reports)
 	d.evidence.Merge(o.Peer.Instance, o.Peer.Incarnation, o.Counts, d.clock.Now())
 	d.halts.Merge(o.Halts)
-	d.drainTargets(o.Leaving)
+	if len(o.Leaving) > 0 {
+		d.drainTargets(o.Leaving)
+	}
 }
 
 // keepUp updates the dispatcher's targets and this instance's own reports. It
@@ -87,10 +92,20 @@
 		}
 		d.reports.replace(d.self.ID(), d.dispatcher.Reports())
 		d.evidence.Merge(d.self.Instance, d.self.Incarnation, d.movingCounts(), d.clock.Now())
+		d.limitOrders()
 		d.upkeep.wait(ctx, d.clock)
 	}
 }
 
+// limitOrders gives this instance its part of the fleet's order writes.
+func (d *Daemon) limitOrders() {
+	limit := float64(fleetOrderWrites) / float64(max(1, len(d.leaser.View().Members)))
+	if rate.Limit(limit) != d.orderer.Writes.Limit() {
+		d.orderer.Writes.SetLimit(rate.Limit(limit))
+		d.orderer.Writes.SetBurst(max(orderBurst, int(limit)))
+	}
+}
+
 // updateTargets gives the dispatcher the targets that may be used now. A target
 // that waits for a takeover is left out, so that its connections count once.
 func (d *Daemon) updateTargets(now time.Time) {
@@ -101,7 +116,13 @@
 			usable = append(usable, t)
 		}
 	}
-	d.dispatcher.Update(usable, d.follower.Current().Services())
+	c := d.follower.Current()
+	d.dispatcher.Update(usable, c.Services())
+	var halted []versionKey
+	for _, h := range d.halts.List() {
+		halted = append(halted, versionKey{h.Service, h.Version})
+	}
+	d.checks.note(now, c, halted, usable)
 }
 
 // upkeep wakes the loop of keepUp before its interval has passed.
--- a/limiter/limiter.go
+++ b/limiter/limiter.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"jujubegate.example/jujubegate"
+	"jujubegate.example/jujubegate/recorder"
 )
 
 // DefaultGrace is the time after which an abandoned request no longer counts
@@ -124,7 +125,11 @@
 		limit = 1 // the probe itself has used up the limit
 	}
 	if running > limit {
-		l.Violation("LimitExceeded", fmt.Sprintf("%d in flight, limit %d, cold limit %d, state %v",
+		name := recorder.Limit
+		if l.ramp.phase == phaseCold {
+			name = recorder.Cold
+		}
+		l.Violation(string(name), fmt.Sprintf("%d in flight, limit %d, cold limit %d, state %v",
 			running, limit, l.settings.ColdLimit, l.state))
 	}
 }
--- a/orderer/send.go
+++ b/orderer/send.go
@@ -10,6 +10,7 @@
 
 	"jujubegate.example/jujubegate"
 	"jujubegate.example/jujubegate/querier"
+	"jujubegate.example/jujubegate/recorder"
 	"jujubegate.example/jujubegate/storer"
 )
 
@@ -129,7 +130,7 @@
 	defer cancel()
 	if _, err := c.o.write(bounded, c.key, record, version); err != nil {
 		if errors.Is(err, storer.ErrConflict) {
-			c.o.Violation("P8", fmt.Sprintf("record of started order %s was changed by another", c.key))
+			c.o.Violation(string(recorder.AtMostOnce), fmt.Sprintf("record of started order %s was changed by another", c.key))
 		}
 		c.o.repair(c.key, record)
 	}
--- a/querier/finish.go
+++ b/querier/finish.go
@@ -6,6 +6,7 @@
 
 	"jujubegate.example/jujubegate"
 	"jujubegate.example/jujubegate/admitter"
+	"jujubegate.example/jujubegate/recorder"
 )
 
 // endOutstanding settles what is still outstanding at the end of the query. The
@@ -26,11 +27,11 @@
 	}
 	merged, err := r.merger.Merge()
 	if err != nil {
-		r.q.Violation("P2", err.Error())
+		r.q.Violation(string(recorder.Coverage), err.Error())
 		return answer, r.refusal(&jujubegate.Refusal{Reason: jujubegate.BadAnswer, Detail: err.Error()})
 	}
 	if missing := missingKeys(merged.Coverage); merged.Keys+missing != jujubegate.KeySpace {
-		r.q.Violation("P2", fmt.Sprintf("query %s: %d keys answered and %d missing", r.id, merged.Keys, missing))
+		r.q.Violation(string(recorder.Coverage), fmt.Sprintf("query %s: %d keys answered and %d missing", r.id, merged.Keys, missing))
 	}
 	answer.Coverage, answer.Rows, answer.Shards = merged.Coverage, merged.Rows, merged.Shards
 	whole := merged.Coverage.Whole()
--- a/querier/handle.go
+++ b/querier/handle.go
@@ -8,6 +8,7 @@
 	"jujubegate.example/jujubegate/balancer"
 	"jujubegate.example/jujubegate/hedger"
 	"jujubegate.example/jujubegate/merger"
+	"jujubegate.example/jujubegate/recorder"
 )
 
 // handle applies one event.
@@ -71,7 +72,7 @@
 	switch verdict {
 	case merger.Accepted:
 		if result.Snapshot != r.snapshot {
-			r.q.Violation("P1", fmt.Sprintf("query %s at snapshot %d accepted %d", r.id, r.snapshot, result.Snapshot))
+			r.q.Violation(string(recorder.Snapshot), fmt.Sprintf("query %s at snapshot %d accepted %d", r.id, r.snapshot, result.Snapshot))
 		}
 		r.end(now, result.Shard, a, balancer.Answered)
 		r.didRun = true
--- a/recorder/check.go
+++ b/recorder/check.go
@@ -22,10 +22,8 @@
 	DataCentreOut Invariant = "DataCentreOut"
 	// BadVersion: a bad version gets at most 5%, and none 2 s after its fault shows.
 	BadVersion Invariant = "BadVersion"
-	// OwnAnswer: a caller receives the answer to its own request.
-	OwnAnswer Invariant = "OwnAnswer"
-	// TrueRefusal: a refusal that says "not run" is true.
-	TrueRefusal Invariant = "TrueRefusal"
+	// Limit: a target runs no more requests of its owner than its limit.
+	Limit Invariant = "Limit"
 	// AtMostOnce: a non-idempotent request runs at most once.
 	AtMostOnce Invariant = "AtMostOnce"
 	// Leaving: a leaving target receives no new work after 3 s.
@@ -40,8 +38,8 @@
 
 // Invariants lists all invariants.
 var Invariants = []Invariant{
-	Snapshot, Coverage, Cold, DataCentreOut, BadVersion, OwnAnswer,
-	TrueRefusal, AtMostOnce, Leaving, GracefulStop, Configuration, DoubleOwner,
+	Snapshot, Coverage, Cold, DataCentreOut, BadVersion, Limit,
+	AtMostOnce, Leaving, GracefulStop, Configuration, DoubleOwner,
 }
 
 // Check counts and reports violated invariants.
--- a/transporter/heartbeat.go
+++ b/transporter/heartbeat.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	"connectrpc.com/connect"
 	"github.com/samber/oops"
@@ -41,7 +42,9 @@
 
 // Observation is what the answer to a heartbeat says besides the membership.
 type Observation struct {
-	Peer    leaser.Member
+	Peer leaser.Member
+	// Sent is the time at which the heartbeat was sent.
+	Sent    time.Time
 	Reports []jujubegate.TargetReport
 	Counts  []jujubegate.RouteCount
 	Halts   []mover.Halt
@@ -51,7 +54,7 @@
 
 // Heartbeat sends a heartbeat and passes the rest of the answer to Observed.
 func (c *Client) Heartbeat(ctx context.Context, to leaser.Member, r leaser.HeartbeatRequest) (leaser.HeartbeatAnswer, error) {
-	known := c.marks.get(to.Instance)
+	known, sent := c.marks.get(to.Instance), c.clock.Now()
 	request := &wire.HeartbeatRequest{
 		Sender:             encodeMember(r.Sender),
 		Epoch:              int64(r.Epoch),
@@ -72,6 +75,7 @@
 	receiver := decodeMember(answer.GetReceiver())
 	c.Observed(Observation{
 		Peer:    receiver,
+		Sent:    sent,
 		Reports: decodeReports(answer.GetReports()),
 		Counts:  decodeCounts(answer.GetCounts()),
 		Halts:   decodeHalts(answer.GetHalts()),
--- a/transporter/transporter_test.go
+++ b/transporter/transporter_test.go
@@ -156,6 +156,8 @@
 		So(err, ShouldBeNil)
 		So(received, ShouldResemble, sent)
 		So(got, ShouldResemble, answer)
+		So(observed.Sent, ShouldHappenWithin, time.Second, time.Now())
+		observed.Sent = time.Time{}
 		So(observed, ShouldResemble, Observation{Peer: owner, Reports: reports, Counts: counts, Halts: halts, Leaving: handler.Leaving()})
 		So(taken, ShouldResemble, halts)
 
