Give the peer handler defaults for evidence of versions and targets

Cause: the capacity measurement builds a handler of its own, which lacked the functions added for halts and leaving targets; each heartbeat panicked and the tests of measurer failed. Change: NewHandler sets functions that exchange nothing. Measured: go test -race ./transporter ./measurer: FAIL before, ok after. Conclusion: only functions without a sensible default must be set.

--- a/transporter/handler.go
+++ b/transporter/handler.go
@@ -38,9 +38,17 @@
 	logger *zap.Logger
 }
 
-// NewHandler returns a handler without functions.
+// NewHandler returns a handler that exchanges no evidence of versions and
+// targets until it is told where to get it. The other functions must be set.
 func NewHandler(clock jujubegate.Clock, logger *zap.Logger) *Handler {
-	return &Handler{clock: clock, logger: logger}
+	return &Handler{
+		Counts:    func() []jujubegate.RouteCount { return nil },
+		Halts:     func() []mover.Halt { return nil },
+		TakeHalts: func([]mover.Halt) {},
+		Leaving:   func() []jujubegate.Address { return nil },
+
+		clock: clock, logger: logger,
+	}
 }
 
 // HTTPServer returns a server of the Peer service over HTTP/2 without TLS.
