Make settings, metrics and Show Instances do what they say

Cause: a try as a new user found settings without effect (MaxRows, MaxQueriesInFlight, Seeds), metrics that nothing published, shifted columns in Show Instances, and refused first orders told as Unknown by jujubeask. Change: the limits are enforced with typed refusals, seeds are asked while no view is known, unpublished metrics are gone or fed, Show Instances has epoch and targets, jujubeask marks new orders as first and checks its body.

--- a/assembler/answer.go
+++ b/assembler/answer.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"encoding/json"
+	"fmt"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -25,6 +27,9 @@
 	if refusal != nil {
 		return asker.QueryAnswer{}, refusal
 	}
+	if refusal := d.limitRows(answer.Rows); refusal != nil {
+		return asker.QueryAnswer{}, refusal
+	}
 	d.queryLatency.Record(answer.Took)
 	return asker.QueryAnswer{
 		QueryID:  answer.QueryID,
@@ -37,6 +42,27 @@
 	}, nil
 }
 
+// minRowBytes is the size of the shortest row with its separator.
+const minRowBytes = 2
+
+// limitRows refuses an answer with too many rows. Rows are counted only if
+// their size allows too many.
+func (d *Daemon) limitRows(rows []byte) *jujubegate.Refusal {
+	limit := d.settings.Limits.MaxRows
+	if len(rows) <= limit*minRowBytes {
+		return nil
+	}
+	var list []json.RawMessage
+	if err := json.Unmarshal(rows, &list); err != nil || len(list) > limit {
+		return &jujubegate.Refusal{
+			Reason:  jujubegate.BadAnswer,
+			Outcome: jujubegate.Ran,
+			Detail:  fmt.Sprintf("answer has %d rows, more than MaxRows %d", len(list), limit),
+		}
+	}
+	return nil
+}
+
 func encodeCoverage(c jujubegate.Coverage) asker.Coverage {
 	encoded := asker.Coverage{Fraction: c.Fraction()}
 	for _, r := range c.Missing() {
--- a/assembler/daemon.go
+++ b/assembler/daemon.go
@@ -79,7 +79,8 @@
 	handler    *transporter.Handler
 	server     *server.Server
 
-	queryLatency *recorder.Histogram
+	queryLatency  *recorder.Histogram
+	targetLatency *recorder.Histogram
 
 	// configured is set once the newest generation was read from the store or
 	// from a majority of the peers; before that no work is taken.
@@ -229,6 +230,7 @@
 	d.server.Refusing = d.refusing.Load
 	d.server.Ready = d.ready
 	d.server.Vars = d.recorder
+	d.server.MaxInFlight = int64(d.settings.Limits.MaxQueriesInFlight)
 }
 
 func (d *Daemon) violation(name, detail string) {
--- a/assembler/listing.go
+++ b/assembler/listing.go
@@ -66,9 +66,9 @@
 	list, err := d.lister.List(ctx)
 	if err != nil {
 		d.logger.Debug("assembler: list of instances not read", zap.Error(err))
-		return leaser.Listing{}, false
+		return d.seeds(), d.leaser.View().Epoch == 0
 	}
-	var listing leaser.Listing
+	listing := d.seeds()
 	for _, e := range slices.Concat(list.Live, list.Leaving) {
 		if e.Kind == lister.KindInstance {
 			listing.Live = append(listing.Live, leaser.Listed{
@@ -78,3 +78,18 @@
 	}
 	return listing, true
 }
+
+// seeds returns the peers of the settings. They matter while no view is known;
+// later, an incomplete list would look like instances that have ended.
+func (d *Daemon) seeds() leaser.Listing {
+	var listing leaser.Listing
+	if d.leaser.View().Epoch > 0 {
+		return listing
+	}
+	for _, address := range d.settings.Peers.Seeds {
+		if address != d.self.PeerAddress {
+			listing.Live = append(listing.Live, leaser.Listed{PeerAddress: address})
+		}
+	}
+	return listing
+}
--- a/assembler/move.go
+++ b/assembler/move.go
@@ -33,6 +33,7 @@
 func (d *Daemon) finished(t jujubegate.Target, route jujubegate.Route, running int, failed bool, took time.Duration) {
 	now := d.clock.Now()
 	d.checkSend(t, now.Add(-took))
+	d.targetLatency.Record(took)
 	d.tally.Observe(t, route, running, failed, took, now)
 }
 
--- a/assembler/status.go
+++ b/assembler/status.go
@@ -40,7 +40,7 @@
 func (d *Daemon) instanceRows(ctx context.Context) [][]string {
 	var rows [][]string
 	for _, a := range d.askAll(ctx) {
-		state, generation, inFlight := "Unreachable", "", ""
+		state, epoch, generation, inFlight := "Unreachable", "", "", ""
 		if a.ok {
 			state = "NotServing"
 			if a.status.Serving {
@@ -49,13 +49,14 @@
 			if a.status.Member.Leaving {
 				state = "Leaving"
 			}
+			epoch = strconv.FormatInt(int64(a.status.Epoch), 10)
 			generation = strconv.FormatInt(int64(a.status.Generation), 10)
 			inFlight = strconv.FormatInt(a.status.InFlight, 10)
 		}
 		owned := len(d.ownership.Assignment().Owned(a.member.Instance))
 		rows = append(rows, []string{
 			string(a.member.Instance), string(a.member.DataCentre), a.member.CallerAddress, state,
-			generation, strconv.Itoa(owned), inFlight,
+			epoch, generation, strconv.Itoa(owned), inFlight,
 		})
 	}
 	return rows
@@ -129,6 +130,7 @@
 
 func (d *Daemon) publishGauges() {
 	d.queryLatency = d.recorder.Histogram(recorder.QueryLatency)
+	d.targetLatency = d.recorder.Histogram(recorder.TargetLatency)
 	c := &d.querier.Counters
 	for _, g := range []struct {
 		metric recorder.Metric
@@ -141,6 +143,12 @@
 		{recorder.SubRequestsHedged, c.Hedges.Load},
 		{recorder.SubRequestsRetried, c.Retries.Load},
 		{recorder.QueriesInFlight, d.server.InFlight},
+		{recorder.QueriesComplete, func() int64 { return d.queryLatency.Summary().Count - c.Partial.Load() }},
+		{recorder.AnswersDropped, func() int64 {
+			return c.Late.Load() + c.Repeated.Load() + c.Foreign.Load() + c.OtherSnapshot.Load() + c.Bad.Load()
+		}},
+		{recorder.Orders, d.orderer.Counters.Orders.Load},
+		{recorder.OrdersUnknown, d.orderer.Counters.RefusedUnknown.Load},
 		{recorder.TargetsOwned, func() int64 { return int64(len(d.ownership.Owned())) }},
 		{recorder.Generation, func() int64 { return int64(d.follower.Current().Generation()) }},
 		{recorder.Epoch, func() int64 { return int64(d.leaser.View().Epoch) }},
--- a/cmd/jujubeask/main.go
+++ b/cmd/jujubeask/main.go
@@ -118,6 +118,9 @@
 func send(ctx context.Context, client *asker.Asker, o options, command string) (any, error) {
 	switch command {
 	case "query":
+		if body := o.Query.Args.Body; body != "" && !json.Valid([]byte(body)) {
+			return nil, fmt.Errorf("body %q is not a JSON value", body)
+		}
 		return client.Query(ctx, asker.QueryRequest{
 			Service:      jujubegate.Service(o.Query.Args.Service),
 			Route:        jujubegate.Route(o.Query.Args.Route),
@@ -125,6 +128,9 @@
 			AllowPartial: o.Query.Partial,
 		})
 	case "order":
+		if body := o.Order.Args.Body; body != "" && !json.Valid([]byte(body)) {
+			return nil, fmt.Errorf("body %q is not a JSON value", body)
+		}
 		id, err := orderID(o.Order.ID)
 		if err != nil {
 			return nil, err
@@ -135,6 +141,7 @@
 			ID:      id,
 			Key:     o.Order.Key,
 			Body:    json.RawMessage(o.Order.Args.Body),
+			First:   o.Order.ID == "",
 		})
 	case "outcome":
 		return client.Outcome(ctx, jujubegate.Service(o.Outcome.Args.Service), o.Outcome.Args.ID)
--- a/parser/show.go
+++ b/parser/show.go
@@ -33,7 +33,7 @@
 		"Service", "From", "To", "State", "Share", "Started", "Deadline", "OnMissed", "Reason",
 	},
 	KindInstances: {
-		"Instance", "DataCentre", "Address", "State", "Epoch", "Generation", "InFlight",
+		"Instance", "DataCentre", "Address", "State", "Epoch", "Generation", "Targets", "InFlight",
 	},
 }
 
--- a/recorder/metric.go
+++ b/recorder/metric.go
@@ -33,33 +33,25 @@
 	QueriesRefused     = Metric{"QueriesRefused", KindCounter, "queries", "queries refused with a reason"}
 	QueriesInFlight    = Metric{"QueriesInFlight", KindGauge, "queries", "queries that this instance is the root of"}
 	QueryLatency       = Metric{"QueryLatency", KindHistogram, "µs", "time from the arrival of a query to its answer"}
-	SubRequests        = Metric{"SubRequests", KindCounter, "sub-requests", "first tries of shards"}
+	SubRequests        = Metric{"SubRequests", KindCounter, "sub-requests", "sub-requests sent, hedges and retries included"}
 	SubRequestsHedged  = Metric{"SubRequestsHedged", KindCounter, "sub-requests", "second tries of late shards"}
 	SubRequestsRetried = Metric{"SubRequestsRetried", KindCounter, "sub-requests", "tries after a refusal or failure"}
-	SubRequestsRefused = Metric{"SubRequestsRefused", KindCounter, "sub-requests", "sub-requests that targets or owners refused"}
 	AnswersDropped     = Metric{"AnswersDropped", KindCounter, "answers", "answers that were late, foreign or malformed"}
 	TargetLatency      = Metric{"TargetLatency", KindHistogram, "µs", "time from sending a sub-request to the target's answer"}
-	QueueLatency       = Metric{"QueueLatency", KindHistogram, "µs", "time that a sub-request waits for a slot"}
 	TargetsOwned       = Metric{"TargetsOwned", KindGauge, "targets", "targets that this instance owns"}
-	TargetConnections  = Metric{"TargetConnections", KindGauge, "connections", "open connections to owned targets"}
 	Orders             = Metric{"Orders", KindCounter, "orders", "orders received from callers"}
 	OrdersUnknown      = Metric{"OrdersUnknown", KindCounter, "orders", "orders whose outcome is unknown"}
 	Generation         = Metric{"Generation", KindGauge, "generation", "generation of the configuration in force"}
 	Epoch              = Metric{"Epoch", KindGauge, "epoch", "epoch of the membership view in force"}
 	Serving            = Metric{"Serving", KindGauge, "", "1 if the serving lease is valid, else 0"}
-	StoreCalls         = Metric{"StoreCalls", KindCounter, "calls", "calls to the object API"}
-	StoreFailures      = Metric{"StoreFailures", KindCounter, "calls", "calls to the object API that were unavailable or unknown"}
-	StoreLatency       = Metric{"StoreLatency", KindHistogram, "µs", "time of a call to the object API other than a watch"}
-	PeerMessages       = Metric{"PeerMessages", KindCounter, "messages", "messages sent to other instances"}
-	PeerBytes          = Metric{"PeerBytes", KindCounter, "bytes", "bytes of control messages sent to other instances"}
 )
 
 // Metrics lists all metrics of an instance.
 var Metrics = []Metric{
 	Queries, QueriesComplete, QueriesPartial, QueriesRefused, QueriesInFlight, QueryLatency,
-	SubRequests, SubRequestsHedged, SubRequestsRetried, SubRequestsRefused, AnswersDropped,
-	TargetLatency, QueueLatency, TargetsOwned, TargetConnections, Orders, OrdersUnknown,
-	Generation, Epoch, Serving, StoreCalls, StoreFailures, StoreLatency, PeerMessages, PeerBytes,
+	SubRequests, SubRequestsHedged, SubRequestsRetried, AnswersDropped,
+	TargetLatency, TargetsOwned, Orders, OrdersUnknown,
+	Generation, Epoch, Serving,
 }
 
 // Page returns the reference page of the metrics in Markdown.
--- a/server/server.go
+++ b/server/server.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -22,6 +23,8 @@
 	readTimeout       = 30 * time.Second
 	idleTimeout       = 2 * time.Minute
 	maxHeaderBytes    = 16 << 10
+	// overloadPause is the advised wait after a refusal for too many requests.
+	overloadPause = 100 * time.Millisecond
 )
 
 // Server holds the handlers. The function fields are set by the daemon.
@@ -34,6 +37,8 @@
 	InForce    func(ctx context.Context, generation jujubegate.Generation) commander.InForce
 	// Refusing returns the refusal of all new work while the instance leaves, else nil.
 	Refusing func() *jujubegate.Refusal
+	// MaxInFlight is the number of queries and orders served at once.
+	MaxInFlight int64
 	// Ready returns why the instance takes no work, or nil.
 	Ready func() error
 	// Vars answers /debug/vars.
@@ -95,8 +100,16 @@
 // began has missed no request.
 func (s *Server) countWork(next echo.HandlerFunc) echo.HandlerFunc {
 	return func(c echo.Context) error {
-		s.inFlight.Add(1)
+		running := s.inFlight.Add(1)
 		defer s.inFlight.Add(-1)
+		if running > s.MaxInFlight {
+			return s.refuse(c, &jujubegate.Refusal{
+				Reason:     jujubegate.Overloaded,
+				Outcome:    jujubegate.NotRun,
+				RetryAfter: overloadPause,
+				Detail:     fmt.Sprintf("instance serves %d requests already", s.MaxInFlight),
+			})
+		}
 		if refusal := s.Refusing(); refusal != nil {
 			c.Response().Header().Set("Connection", "close")
 			return s.refuse(c, refusal)
