Ignore time-outs of requests that had no time, let tries last for a deadline

In an overload requests start with little time left; their time-outs were taken for signs of a cold target, which clamped and ejected targets. The callers' client gave up a try after a third of its timeout, before the service's deadline, and sent the query again. Change: a time-out within the normal service time teaches the limiter nothing; a try lasts for half of the time left.

--- a/asker/asker.go
+++ b/asker/asker.go
@@ -130,12 +130,14 @@
 	return err
 }
 
-// attempt sends the request to one address. It takes at most its part of the
-// time left, because an instance that is paused does not refuse anything.
+// attempt sends the request to one address. It takes at most half of the time
+// left unless it is the last, because an instance that is paused does not
+// refuse anything. The caller's timeout should therefore be more than twice
+// the service's deadline: a try that is given up earlier is wasted work.
 func (a *Asker) attempt(ctx context.Context, triesLeft int, address, path string, request, answer any) error {
-	if deadline, ok := ctx.Deadline(); ok {
+	if deadline, ok := ctx.Deadline(); ok && triesLeft > 1 {
 		var cancel context.CancelFunc
-		ctx, cancel = context.WithTimeout(ctx, time.Until(deadline)/time.Duration(triesLeft))
+		ctx, cancel = context.WithTimeout(ctx, time.Until(deadline)/2)
 		defer cancel()
 	}
 	return a.send(ctx, address, path, request, answer)
--- a/limiter/limiter_test.go
+++ b/limiter/limiter_test.go
@@ -93,6 +93,10 @@
 			d.warm().one(Answered, slowTime)
 			d.one(Answered, warmTime)
 		}, 4, jujubegate.Warm},
+		{"time-outs within the normal time say nothing", func(d *driver) {
+			d.warm().many(ejectAfter, TimedOut, warmTime)
+		}, 4, jujubegate.Warm},
+		{"long time-outs are cold", func(d *driver) { d.warm().many(4, TimedOut, slowTime) }, 1, jujubegate.Cold},
 		{"three slow answers clamp", func(d *driver) { d.warm().many(3, Answered, slowTime) }, 1, jujubegate.Warm},
 		{"four slow answers are cold", func(d *driver) { d.warm().many(4, Answered, slowTime) }, 1, jujubegate.Cold},
 		{"a closed connection clamps", func(d *driver) {
--- a/limiter/result.go
+++ b/limiter/result.go
@@ -32,7 +32,7 @@
 // Result is the end of a request.
 type Result struct {
 	Kind Kind
-	// Latency is the time from sending to the answer.
+	// Latency is the time from sending to the end; 0 if it is unknown.
 	Latency time.Duration
 }
 
@@ -57,6 +57,11 @@
 	case Unreachable:
 		l.Unreachable(now)
 	case TimedOut:
+		// In an overload, requests start with little time left. One that timed
+		// out within the normal service time says nothing about its target.
+		if r.Latency > 0 && l.latency.warm != 0 && l.latency.normal(r.Latency) {
+			return
+		}
 		l.ramp.sign(started, now)
 		l.failed(now)
 	case Cancelled:
--- a/measurer/move.go
+++ b/measurer/move.go
@@ -16,6 +16,8 @@
 	spec.Instances = 8
 	return withBench(ctx, binaries, spec, func(ctx context.Context, b *bench) ([]Figure, error) {
 		name := spec.DataCentres[0]
+		// The first load finds targets that have just become warm.
+		moderate().Run(ctx, b.ask)
 		before := moderate().Run(ctx, b.ask)
 		leave, accepted, err := b.moderateDuring(ctx, "TakeOut DataCentre "+name+` { Reason = "measurement"; };`)
 		if err != nil {
