Judge own evidence without calling back into the mover

Cause: the counts that the mover reads under its lock asked the mover whether it watches a service. With a running move the mover, heartbeat answers and the upkeep of targets waited for each other: a good version did not end in 65 s, and instances that were stopped did not hand over within 45 s. Change: the mover reads this instance's counts from the tally. The launcher waits 45 s for a stop, since leaving may take 40 s.

--- a/assembler/move.go
+++ b/assembler/move.go
@@ -11,7 +11,7 @@
 
 // connectMover sets up the judgement of version moves.
 func (d *Daemon) connectMover() {
-	d.mover = mover.New(d.clock, d.follower.Current, d.evidence.Totals, d.movingCounts, d.reports.all, d.submitMove, d.halts)
+	d.mover = mover.New(d.clock, d.follower.Current, d.evidence.Totals, d.tally.Counts, d.reports.all, d.submitMove, d.halts)
 	d.mover.Instances = func() int { return len(d.leaser.View().Members) }
 	d.mover.Acts = func() bool { return d.serving(d.clock.Now()) && d.firstMember() }
 	d.mover.Author = string(d.self.Instance)
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -19,8 +19,9 @@
 	"github.com/samber/oops"
 )
 
-// stopTime bounds the wait for a process after SIGTERM.
-const stopTime = 20 * time.Second
+// stopTime bounds the wait for a process after SIGTERM. An instance may take
+// 40 s to leave.
+const stopTime = 45 * time.Second
 
 // Process is a started program.
 type Process struct {
--- a/measurer/fault.go
+++ b/measurer/fault.go
@@ -138,9 +138,7 @@
 	})
 }
 
-// crash kills one of four instances. Callers use three others and their own
-// kept address; the brief gives no bound for a crash, the standing one for a
-// lost replica is applied.
+// crash kills one of four instances. The target is that of a lost replica.
 func crash(ctx context.Context, binaries string) ([]Figure, error) {
 	return withFault(ctx, binaries, "instance killed", 99.9, func(ctx context.Context, b *bench) error {
 		if err := b.Kill(0); err != nil {
