Keep the report book of the querier's tests in a test file

Cause: the daemon has a report book of its own, which ties reports to owners; the one of the querier was used by tests only. The test of a judged move accepted any small number of counts. Change: the querier's book is an unexported type in a test file without the unused method, and the test names the one count it expects. Conclusion: no production code that only tests use is left in the querier.

--- a/assembler/move_test.go
+++ b/assembler/move_test.go
@@ -47,7 +47,7 @@
 		}()
 		select {
 		case counts := <-done:
-			So(counts, ShouldBeLessThan, 3)
+			So(counts, ShouldEqual, 1)
 		case <-time.After(10 * time.Second):
 			So("finished", ShouldEqual, "deadlock")
 		}
--- a/querier/fake_test.go
+++ b/querier/fake_test.go
@@ -99,7 +99,7 @@
 // snapshots 1 and 2 and is owned by one of the instances.
 func newFake(f *fakeTopology, clock jujubegate.Clock, instances int) *Querier {
 	q := New("dc0", clock, rand.New(rand.NewPCG(1, 2)), zap.NewNop())
-	book := NewReportBook()
+	book := newReportBook()
 	owners := make(map[jujubegate.Address]leaser.Member)
 	for i, t := range f.targets {
 		book.Put([]jujubegate.TargetReport{{
--- a/querier/fleet_test.go
+++ b/querier/fleet_test.go
@@ -36,7 +36,7 @@
 	sent     map[string]int
 	faults   []string
 	notRun   []string
-	book     *ReportBook
+	book     *reportBook
 	topo     *fakeTopology
 	outSince time.Time
 	movedAt  time.Time
@@ -61,7 +61,7 @@
 		seed: seed, shards: 1 + random.IntN(5), replicas: 1 + random.IntN(3),
 		hostility: []int{0, 5, 20, 60}[random.IntN(4)], lies: func(*jujubegate.SubResult) {},
 		newest: 3, held: make(map[jujubegate.Address][]jujubegate.Snapshot), ran: make(map[string]int),
-		returned: make(map[string]bool), sent: make(map[string]int), book: NewReportBook(),
+		returned: make(map[string]bool), sent: make(map[string]int), book: newReportBook(),
 		draining: make(map[jujubegate.Address]time.Time), ownerless: make(map[jujubegate.Address]time.Time),
 	}
 	f.topo = newTopology(f.shards, f.replicas)
--- a/querier/place_test.go
+++ b/querier/place_test.go
@@ -49,7 +49,7 @@
 			So(p.SubRequest.Target, ShouldEqual, address(1, 0))
 		})
 		Convey("does not exist without a report", func() {
-			q.Reports = NewReportBook().Get
+			q.Reports = newReportBook().Get
 			_, refusal := place(q, 1)
 			So(refusal.Reason, ShouldEqual, jujubegate.NoCoverage)
 			So(refusal.Outcome, ShouldEqual, jujubegate.NotRun)
--- a/querier/reportbook.go
+++ b/querier/reportbook_test.go
@@ -6,21 +6,21 @@
 	"jujubegate.example/jujubegate"
 )
 
-// ReportBook keeps the latest report of each target, in the order in which they
+// reportBook keeps the latest report of each target, in the order in which they
 // are put: reports carry no time, so an old one that arrives late stays until
 // the next one. It is safe for concurrent use.
-type ReportBook struct {
+type reportBook struct {
 	mu      sync.RWMutex
 	reports map[jujubegate.Address]jujubegate.TargetReport
 }
 
-// NewReportBook returns an empty book.
-func NewReportBook() *ReportBook {
-	return &ReportBook{reports: make(map[jujubegate.Address]jujubegate.TargetReport)}
+// newReportBook returns an empty book.
+func newReportBook() *reportBook {
+	return &reportBook{reports: make(map[jujubegate.Address]jujubegate.TargetReport)}
 }
 
 // Put replaces the reports of the targets named.
-func (b *ReportBook) Put(reports []jujubegate.TargetReport) {
+func (b *reportBook) Put(reports []jujubegate.TargetReport) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for _, r := range reports {
@@ -29,20 +29,9 @@
 }
 
 // Get returns the latest report of a target.
-func (b *ReportBook) Get(target jujubegate.Address) (jujubegate.TargetReport, bool) {
+func (b *reportBook) Get(target jujubegate.Address) (jujubegate.TargetReport, bool) {
 	b.mu.RLock()
 	defer b.mu.RUnlock()
 	r, ok := b.reports[target]
 	return r, ok
 }
-
-// Keep forgets the targets for which keep returns false.
-func (b *ReportBook) Keep(keep func(jujubegate.Address) bool) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	for target := range b.reports {
-		if !keep(target) {
-			delete(b.reports, target)
-		}
-	}
-}
