Run on the users' platform: opaque requests, gathered queries, gossip, store adapter

Cause: nothing of the platform's protocol was spoken. The first design hops through an owner of each target; with 1,800 sub-requests a second that doubles the bytes between zones and gives each query 20 owners whose freeze it waits for. Ruled out for the platform: owners, order records, leases.

Change: every instance sends to targets directly within its share of the shared limits.

--- a/balancer/replica.go
+++ b/balancer/replica.go
@@ -36,6 +36,9 @@
 	refusedUntil atomic.Int64
 }
 
+// NewReplica returns the record of a target that no Balancer keeps.
+func NewReplica(address jujubegate.Address) *Replica { return &Replica{address: address} }
+
 // Address returns the target's address.
 func (r *Replica) Address() jujubegate.Address { return r.address }
 
@@ -190,7 +193,7 @@
 	defer b.mu.Unlock()
 	r, ok := b.replicas[address]
 	if !ok {
-		r = &Replica{address: address}
+		r = NewReplica(address)
 		b.replicas[address] = r
 	}
 	return r
--- /dev/null
+++ b/cmd/jujubenode/main.go
@@ -0,0 +1,89 @@
+// Command jujubenode is the entry daemon on the users' platform.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/jessevdk/go-flags"
+	"github.com/jonboulle/clockwork"
+
+	"jujubegate.example/jujubegate"
+	"jujubegate.example/jujubegate/conductor"
+	"jujubegate.example/jujubegate/platform"
+	"jujubegate.example/jujubegate/recorder"
+)
+
+// Exit codes.
+const (
+	exitFailed = 1
+	exitUsage  = 2
+)
+
+type options struct {
+	Settings string `short:"s" long:"settings" env:"JUJUBEGATE_NODE_FILE" description:"TOML file of settings" default:"jujubenode.toml"`
+	Check    bool   `long:"check" description:"check the settings, print all findings and exit"`
+	Version  bool   `long:"version" description:"print the version and exit"`
+}
+
+func main() { os.Exit(run()) }
+
+func run() int {
+	var o options
+	if _, err := flags.NewParser(&o, flags.HelpFlag|flags.PassDoubleDash).Parse(); err != nil {
+		var flagsError *flags.Error
+		if errors.As(err, &flagsError) && flagsError.Type == flags.ErrHelp {
+			fmt.Println(err)
+			return 0
+		}
+		return fail(exitUsage, err)
+	}
+	if o.Version {
+		fmt.Println("jujubenode", jujubegate.Release())
+		return 0
+	}
+	settings, err := conductor.Load(o.Settings)
+	if err != nil {
+		return fail(exitUsage, err)
+	}
+	if o.Check {
+		fmt.Println(o.Settings, "is valid")
+		return 0
+	}
+	return serve(settings)
+}
+
+func serve(settings conductor.Settings) int {
+	clock := jujubegate.NewSteadyClock(clockwork.NewRealClock())
+	log, err := recorder.NewLog(os.Stdout, clock, settings.Log.Level, settings.Log.LinesPerSecond)
+	if err != nil {
+		return fail(exitUsage, err)
+	}
+	defer log.Close()
+	rec := recorder.New(log.Logger, false)
+	log.Count(rec)
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	signal.Ignore(syscall.SIGPIPE)
+	calls, failures := rec.Counter(recorder.StoreCalls), rec.Counter(recorder.StoreFailures)
+	store := platform.NewStore(settings.Store.Address, func(err error) {
+		calls.Inc()
+		if err != nil {
+			failures.Inc()
+		}
+	})
+	rec.Publish()
+	if err := conductor.New(settings, platform.New(store.Source()), clock, log.Logger, rec).Run(ctx); err != nil {
+		return fail(exitFailed, err)
+	}
+	return 0
+}
+
+func fail(code int, err error) int {
+	fmt.Fprintln(os.Stderr, "jujubenode:", err)
+	return code
+}
--- /dev/null
+++ b/conductor/conductor.go
@@ -0,0 +1,258 @@
+// Package conductor runs one instance on a platform: it follows the store,
+// knows the other instances, serves callers and leaves gracefully.
+package conductor
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+	"golang.org/x/net/http2"
+	"golang.org/x/net/http2/h2c"
+
+	"jujubegate.example/jujubegate"
+	"jujubegate.example/jujubegate/connector"
+	"jujubegate.example/jujubegate/gatherer"
+	"jujubegate.example/jujubegate/gossiper"
+	"jujubegate.example/jujubegate/receiver"
+	"jujubegate.example/jujubegate/recorder"
+	"jujubegate.example/jujubegate/replicator"
+	"jujubegate.example/jujubegate/router"
+	"jujubegate.example/jujubegate/sender"
+	"jujubegate.example/jujubegate/tracker"
+)
+
+const (
+	// targetsPause is the time in which changes of targets are collected before
+	// the next paid watch. It is well below the time that a target which leaves
+	// goes on serving.
+	targetsPause = 250 * time.Millisecond
+	// storeTrouble is how long after a failed call to the store missing entries
+	// of targets may be due to the failure.
+	storeTrouble = 3 * time.Second
+	// defaultLinesPerSecond bounds the log of one instance.
+	defaultLinesPerSecond = 200
+)
+
+// Conductor is one instance.
+type Conductor struct {
+	settings Settings
+	adapter  Adapter
+	clock    jujubegate.Clock
+	log      *zap.Logger
+	recorder *recorder.Recorder
+
+	table     atomic.Pointer[router.Table]
+	leaving   atomic.Bool
+	tracker   *tracker.Tracker
+	sender    *sender.Sender
+	gossiper  *gossiper.Gossiper
+	receiver  *receiver.Receiver
+	config    *replicator.Replicator
+	targets   *replicator.Replicator
+	out       *replicator.Replicator
+	decoded   map[string]decodedTarget
+	recheck   chan struct{}
+	listed    atomic.Int64
+	transport *http.Transport
+
+	// cut ends the requests that are left at the end of the grace.
+	cut     context.Context
+	cutNow  context.CancelFunc
+	running sync.WaitGroup
+}
+
+// decodedTarget keeps what an object of a target held at a revision.
+type decodedTarget struct {
+	revision int64
+	entry    tracker.Entry
+	valid    bool
+}
+
+// New returns an instance that Run starts.
+func New(settings Settings, adapter Adapter, clock jujubegate.Clock, log *zap.Logger, rec *recorder.Recorder) *Conductor {
+	c := &Conductor{
+		settings: settings, adapter: adapter, clock: clock, log: log, recorder: rec,
+		decoded: make(map[string]decodedTarget), recheck: make(chan struct{}, 1),
+		transport: &http.Transport{MaxIdleConnsPerHost: 2, DisableCompression: true},
+	}
+	c.cut, c.cutNow = context.WithCancel(context.Background())
+	opened := rec.Counter(recorder.ConnectionsOpened)
+	c.tracker = tracker.New(tracker.Settings{
+		Clock: clock, Log: log, Hold: settings.Bounds.drain() / 2,
+		NewPool: func(e tracker.Entry, bound int) *connector.Pool {
+			return connector.New(connector.Settings{Target: e.Address, TargetID: e.ID, Names: adapter.Names, Clock: clock, Opened: opened.Inc}, bound)
+		},
+		ColdFactor: settings.Bounds.ColdFactor, ColdAllowance: settings.Bounds.ColdAllowance,
+	})
+	c.config = c.follow(adapter.Kinds.Configuration, 0, c.configure)
+	c.targets = c.follow(adapter.Kinds.Targets, targetsPause, c.retarget)
+	c.out = c.follow(adapter.Kinds.OutOfService, 0, c.takeOut)
+	c.gossiper = gossiper.New(gossiper.Settings{
+		Self: gossiper.Peer{
+			Instance: settings.Instance, Incarnation: time.Now().UnixMilli(), DataCentre: settings.DataCentre,
+			PeerAddress: settings.Listen.Peers, CallerAddress: settings.Listen.Callers,
+		},
+		Fleet: settings.Store.Address, Seeds: settings.Seeds, Clock: clock, Log: log,
+		Replicators: []*replicator.Replicator{c.config, c.targets, c.out},
+		Serving:     c.serving, Changed: c.peersChanged, Client: &http.Client{Transport: c.transport},
+	})
+	c.sender = sender.New(sender.Settings{
+		Tracker: c.tracker, Clock: clock, Seed: rand.Uint64(), Instances: c.instances,
+		RepeatRatio: settings.Bounds.RepeatRatio, RepeatAllowance: settings.Bounds.RepeatAllowance,
+	})
+	gather := gatherer.New(gatherer.Settings{Clock: clock, Send: c.sender.Send})
+	c.receiver = receiver.New(receiver.Settings{
+		Names: adapter.Names, Clock: clock, Log: log, Recorder: rec,
+		Table: c.table.Load, Current: func() bool { return !c.config.Failing() }, Leaving: c.leaving.Load,
+		Send: c.sender.Send, Gather: gather.Gather,
+	})
+	rec.GaugeFunc(recorder.TargetsKnown, func() int64 { return int64(c.tracker.Known()) })
+	rec.GaugeFunc(recorder.InstancesKnown, func() int64 { return int64(c.instances()) })
+	return c
+}
+
+func (c *Conductor) follow(kind string, pause time.Duration, changed func(*replicator.State)) *replicator.Replicator {
+	return replicator.New(replicator.Settings{
+		Kind: kind, Source: c.adapter.Source, Clock: c.clock, Log: c.log, Pause: pause, Changed: changed,
+	})
+}
+
+// instances returns the number of instances that share the targets.
+func (c *Conductor) instances() int { return max(c.gossiper.Size(), int(c.listed.Load())) }
+
+// serving reports whether new requests are taken.
+func (c *Conductor) serving() bool {
+	return !c.leaving.Load() && c.table.Load() != nil && c.tracker.Known() > 0
+}
+
+// configure takes over a new configuration. A version that cannot be read
+// leaves the older one in force.
+func (c *Conductor) configure(s *replicator.State) {
+	for _, o := range s.Objects {
+		old := c.table.Load()
+		table, err := c.adapter.Configuration(o, old)
+		if err != nil {
+			c.log.Error("conductor: configuration cannot be read", zap.Int64("Revision", o.Revision), zap.Error(err))
+			continue
+		}
+		if table == nil || old != nil && table.Version <= old.Version {
+			continue
+		}
+		c.table.Store(table)
+		c.tracker.SetTable(table)
+		c.recorder.Gauge(recorder.ConfigurationInUse).Set(table.Version)
+		c.log.Info("conductor: configuration in force", zap.Int64("Version", table.Version),
+			zap.Int64("Revision", o.Revision), zap.Bool("FromPeer", s.FromPeer))
+	}
+}
+
+// retarget takes over a new list of targets.
+func (c *Conductor) retarget(s *replicator.State) {
+	entries := make([]tracker.Entry, 0, len(s.Objects))
+	for name, o := range s.Objects {
+		d, ok := c.decoded[name]
+		if !ok || d.revision != o.Revision {
+			entry, err := c.adapter.Target(o)
+			if err != nil {
+				c.log.Warn("conductor: entry names no target", zap.String("Name", name), zap.Int64("Revision", o.Revision), zap.Error(err))
+			}
+			d = decodedTarget{revision: o.Revision, entry: entry, valid: err == nil}
+			c.decoded[name] = d
+		}
+		if d.valid {
+			entries = append(entries, d.entry)
+		}
+	}
+	for name := range c.decoded {
+		if _, ok := s.Objects[name]; !ok {
+			delete(c.decoded, name)
+		}
+	}
+	c.tracker.Update(entries, c.targets.FailedWithin(storeTrouble))
+}
+
+func (c *Conductor) takeOut(s *replicator.State) {
+	var names []jujubegate.DataCentre
+	for _, o := range s.Objects {
+		names = append(names, c.adapter.OutOfService(o))
+	}
+	out := jujubegate.NewSet(names...)
+	c.tracker.SetOut(out)
+	c.log.Info("conductor: data centres out of service", zap.Any("DataCentres", out.Sorted()), zap.Int64("Revision", s.Revision))
+}
+
+func (c *Conductor) peersChanged(peers []gossiper.Peer) {
+	c.tracker.SetInstances(c.instances())
+	c.log.Info("conductor: instances changed", zap.Int("Alive", len(peers)+1), zap.Int("Sharing", c.instances()))
+}
+
+// Run serves until the context ends, then leaves within the grace.
+func (c *Conductor) Run(ctx context.Context) error {
+	background, stop := context.WithCancel(context.Background())
+	defer stop()
+	servers, err := c.listen()
+	if err != nil {
+		return err
+	}
+	failed := make(chan error, len(servers))
+	for _, s := range servers {
+		go func() { failed <- s.server.Serve(s.listener) }()
+	}
+	for _, r := range []*replicator.Replicator{c.config, c.targets, c.out} {
+		go r.Run(background)
+	}
+	go c.gossiper.Run(background)
+	go c.tracker.Run(background)
+	go c.register(background)
+	c.log.Info("conductor: started", zap.String("Instance", string(c.settings.Instance)),
+		zap.String("DataCentre", string(c.settings.DataCentre)), zap.String("Release", jujubegate.Release()), zap.Any("Listen", c.settings.Listen))
+	select {
+	case <-ctx.Done():
+		c.leave(servers)
+		return nil
+	case err := <-failed:
+		return fmt.Errorf("serve: %w", err)
+	}
+}
+
+// served is one HTTP server with its listener.
+type served struct {
+	name     string
+	server   *http.Server
+	listener net.Listener
+}
+
+func (c *Conductor) listen() ([]served, error) {
+	path, peers := c.gossiper.Handler()
+	mux := http.NewServeMux()
+	mux.Handle(path, peers)
+	list := []served{
+		{name: callersServer, server: c.callerServer()},
+		{name: "Peers", server: &http.Server{Handler: h2c.NewHandler(mux, &http2.Server{}), ReadHeaderTimeout: headerTimeout}},
+		{name: "Ready", server: &http.Server{Handler: c.readyHandler(), ReadHeaderTimeout: headerTimeout}},
+		{name: "Lookup", server: &http.Server{Handler: c.lookupHandler(), ReadHeaderTimeout: headerTimeout}},
+	}
+	addresses := []string{c.settings.Listen.Callers, c.settings.Listen.Peers, c.settings.Listen.Ready, c.settings.Listen.Lookup}
+	if c.settings.Listen.Metrics != "" {
+		list = append(list, served{name: "Metrics", server: &http.Server{Handler: c.recorder, ReadHeaderTimeout: headerTimeout}})
+		addresses = append(addresses, c.settings.Listen.Metrics)
+	}
+	for i := range list {
+		l, err := net.Listen("tcp", addresses[i])
+		if err != nil {
+			for _, opened := range list[:i] {
+				opened.listener.Close()
+			}
+			return nil, fmt.Errorf("listen for %s: %w", list[i].name, err)
+		}
+		list[i].listener = l
+	}
+	return list, nil
+}
--- /dev/null
+++ b/conductor/settings.go
@@ -0,0 +1,147 @@
+package conductor
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"time"
+
+	"github.com/pelletier/go-toml/v2"
+
+	"jujubegate.example/jujubegate"
+)
+
+// Settings are those of an instance on a platform.
+type Settings struct {
+	Instance   jujubegate.Instance
+	DataCentre jujubegate.DataCentre
+	// Listen holds the host:port of what the instance serves.
+	Listen Listen
+	// Seeds are peer addresses of other instances; they may be stale.
+	Seeds  []string
+	Store  Store
+	Bounds Bounds
+	Log    Log
+}
+
+// Listen are the addresses on which an instance listens.
+type Listen struct {
+	Callers, Ready, Lookup, Peers, Metrics string
+}
+
+// Store is where the platform's store is reached.
+type Store struct{ Address string }
+
+// Bounds are the limits that the platform sets. Times are in the units of their names.
+type Bounds struct {
+	// DrainMillis is how long a target that leaves may still get requests.
+	DrainMillis int
+	// GraceSeconds is the time from SIGTERM to SIGKILL.
+	GraceSeconds float64
+	// RepeatRatio and RepeatAllowance bound repeated requests to a service.
+	RepeatRatio, RepeatAllowance float64
+	// ColdFactor and ColdAllowance bound the requests to a cold target.
+	ColdFactor, ColdAllowance float64
+	// LookupSeconds is how long callers keep a looked up address at most.
+	LookupSeconds float64
+}
+
+// Log are the settings of the log.
+type Log struct {
+	// Level is that of zap: debug, info, warn or error.
+	Level string
+	// LinesPerSecond bounds the volume; a tenth is kept for warnings.
+	LinesPerSecond int
+}
+
+// Load reads the settings. The error is jujubegate.Findings unless the file
+// cannot be read.
+func Load(path string) (Settings, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return Settings{}, fmt.Errorf("read settings: %w", err)
+	}
+	return Parse(path, data)
+}
+
+// Parse reads the settings from TOML. File is the name in the findings.
+func Parse(file string, data []byte) (Settings, error) {
+	s := Settings{Log: Log{Level: "info", LinesPerSecond: defaultLinesPerSecond}}
+	decoder := toml.NewDecoder(bytes.NewReader(data)).DisallowUnknownFields()
+	if err := decoder.Decode(&s); err != nil {
+		return Settings{}, findings(file, err)
+	}
+	return s, s.check(file).Err()
+}
+
+func findings(file string, err error) jujubegate.Findings {
+	var unknown *toml.StrictMissingError
+	if errors.As(err, &unknown) {
+		var fs jujubegate.Findings
+		for _, e := range unknown.Errors {
+			fs = append(fs, finding(file, &e))
+		}
+		return fs
+	}
+	var wrong *toml.DecodeError
+	if errors.As(err, &wrong) {
+		return jujubegate.Findings{finding(file, wrong)}
+	}
+	return jujubegate.Findings{{Position: jujubegate.Position{File: file, Line: 1, Column: 1}, Message: err.Error()}}
+}
+
+func finding(file string, e *toml.DecodeError) jujubegate.Finding {
+	line, column := e.Position()
+	return jujubegate.Finding{Position: jujubegate.Position{File: file, Line: line, Column: column}, Message: e.Error()}
+}
+
+func (s *Settings) check(file string) jujubegate.Findings {
+	var fs jujubegate.Findings
+	add := func(format string, args ...any) {
+		fs = append(fs, jujubegate.Finding{Position: jujubegate.Position{File: file, Line: 1, Column: 1}, Message: fmt.Sprintf(format, args...)})
+	}
+	for _, field := range []struct{ name, value string }{
+		{"Instance", string(s.Instance)}, {"DataCentre", string(s.DataCentre)},
+	} {
+		if field.value == "" {
+			add("%s is missing", field.name)
+		}
+	}
+	for _, field := range []struct {
+		name, value string
+		optional    bool
+	}{
+		{"Listen.Callers", s.Listen.Callers, false}, {"Listen.Ready", s.Listen.Ready, false},
+		{"Listen.Lookup", s.Listen.Lookup, false}, {"Listen.Peers", s.Listen.Peers, false},
+		{"Listen.Metrics", s.Listen.Metrics, true}, {"Store.Address", s.Store.Address, false},
+	} {
+		if field.value == "" && field.optional {
+			continue
+		}
+		if _, _, err := net.SplitHostPort(field.value); err != nil {
+			add("%s = %q is not host:port", field.name, field.value)
+		}
+	}
+	for _, field := range []struct {
+		name  string
+		value float64
+	}{
+		{"Bounds.DrainMillis", float64(s.Bounds.DrainMillis)}, {"Bounds.GraceSeconds", s.Bounds.GraceSeconds},
+		{"Bounds.RepeatRatio", s.Bounds.RepeatRatio}, {"Bounds.RepeatAllowance", s.Bounds.RepeatAllowance},
+		{"Bounds.LookupSeconds", s.Bounds.LookupSeconds},
+	} {
+		if field.value <= 0 {
+			add("%s must be greater than 0", field.name)
+		}
+	}
+	if s.Log.LinesPerSecond <= 0 {
+		add("Log.LinesPerSecond must be greater than 0")
+	}
+	return fs
+}
+
+func (b Bounds) grace() time.Duration { return time.Duration(b.GraceSeconds * float64(time.Second)) }
+
+func (b Bounds) drain() time.Duration { return time.Duration(b.DrainMillis) * time.Millisecond }
--- /dev/null
+++ b/gatherer/gatherer.go
@@ -0,0 +1,172 @@
+// Package gatherer asks all shards of a query and merges their records.
+package gatherer
+
+import (
+	"context"
+	"math"
+	"time"
+
+	"jujubegate.example/jujubegate"
+	"jujubegate.example/jujubegate/connector"
+	"jujubegate.example/jujubegate/router"
+	"jujubegate.example/jujubegate/sender"
+)
+
+const (
+	// ReplyReserve is the time that an answer needs from here to its caller and
+	// that the request needed to come here, with the opening of a connection.
+	ReplyReserve = 14 * time.Millisecond
+	// lateWait is the time after the objective, as a share of it, for which a
+	// query that has reached its floor waits for the missing shards.
+	lateWait = 0.5
+)
+
+// Settings are the dependencies of a Gatherer.
+type Settings struct {
+	Clock jujubegate.Clock
+	// Send asks one shard.
+	Send func(ctx context.Context, c sender.Call) sender.Outcome
+}
+
+// Gatherer answers queries over many shards. It is safe for concurrent use.
+type Gatherer struct{ settings Settings }
+
+// New returns a gatherer.
+func New(settings Settings) *Gatherer { return &Gatherer{settings} }
+
+// Query is one query over many shards.
+type Query struct {
+	Request *connector.Request
+	Route   *router.Route
+	Arrival time.Time
+}
+
+// Missing is a shard that is not in an answer.
+type Missing struct {
+	Shard   jujubegate.Service
+	Outcome sender.Outcome
+}
+
+// Result is the end of a query.
+type Result struct {
+	// OK says that enough shards are in.
+	OK bool
+	// Signatures are those of the parts in Body.
+	Signatures []string
+	Body       []byte
+	Missing    []Missing
+	// Tries is the number of tries of all shards that have ended.
+	Tries int
+	// Ran says whether any target may have run the query.
+	Ran    jujubegate.Outcome
+	Reason jujubegate.Reason
+}
+
+type part struct {
+	index   int
+	outcome sender.Outcome
+}
+
+// gathering is one query in progress.
+type gathering struct {
+	query      Query
+	top        *Top
+	signatures map[string]struct{}
+	result     Result
+	ended      []bool
+	pending    int
+	least      int
+}
+
+// Gather asks all shards, and answers once all are in, or with those that are
+// in when waiting longer would be worth less than what is missing.
+func (g *Gatherer) Gather(ctx context.Context, q Query) Result {
+	shards := q.Route.Gather.Shards
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(connector.ErrAbandoned)
+	parts := make(chan part, len(shards))
+	for i, shard := range shards {
+		go func() {
+			parts <- part{i, g.settings.Send(ctx, sender.Call{Request: q.Request, Route: q.Route, Service: shard})}
+		}()
+	}
+	w := &gathering{
+		query: q, top: NewTop(q.Route.Gather.Top), signatures: make(map[string]struct{}, len(shards)),
+		ended: make([]bool, len(shards)), pending: len(shards),
+		least:  max(int(math.Ceil(q.Route.Gather.Floor*float64(len(shards))-1e-9)), 1),
+		result: Result{Ran: jujubegate.NotRun},
+	}
+	soft, late := g.settings.Clock.After(g.untilObjective(q)), (<-chan time.Time)(nil)
+	overdue := false
+	for w.pending > 0 {
+		select {
+		case p := <-parts:
+			w.take(p)
+			if w.hopeless() {
+				return w.finish(jujubegate.NoCoverage)
+			}
+		case <-soft:
+			soft = nil
+			if w.enough() {
+				return w.finish("")
+			}
+			late = g.settings.Clock.After(time.Duration(lateWait * float64(q.Route.Objective)))
+		case <-late:
+			late, overdue = nil, true
+		case <-ctx.Done():
+			return w.finish(jujubegate.DeadlinePassed)
+		}
+		if overdue && w.enough() {
+			return w.finish("")
+		}
+	}
+	return w.finish("")
+}
+
+// untilObjective is the time left to answer within the objective.
+func (g *Gatherer) untilObjective(q Query) time.Duration {
+	left := q.Route.Objective - ReplyReserve - g.settings.Clock.Since(q.Arrival)
+	return max(left, 0)
+}
+
+func (w *gathering) take(p part) {
+	w.pending--
+	w.ended[p.index] = true
+	w.result.Tries += len(p.outcome.Tries)
+	if p.outcome.Ran != jujubegate.NotRun {
+		w.result.Ran = jujubegate.Unknown
+	}
+	signature := p.outcome.Answer.Signature
+	_, twice := w.signatures[signature]
+	if !p.outcome.Success() || twice {
+		w.result.Missing = append(w.result.Missing, Missing{w.query.Route.Gather.Shards[p.index], p.outcome})
+		return
+	}
+	w.signatures[signature] = struct{}{}
+	w.result.Signatures = append(w.result.Signatures, signature)
+	w.top.Add(p.outcome.Answer.Body)
+}
+
+func (w *gathering) enough() bool { return len(w.result.Signatures) >= w.least }
+
+// hopeless reports whether the floor cannot be reached any more.
+func (w *gathering) hopeless() bool { return len(w.result.Signatures)+w.pending < w.least }
+
+// finish returns the answer with the shards that are in.
+func (w *gathering) finish(reason jujubegate.Reason) Result {
+	for i, ended := range w.ended {
+		if !ended {
+			w.result.Missing = append(w.result.Missing, Missing{Shard: w.query.Route.Gather.Shards[i]})
+			w.result.Ran = jujubegate.Unknown
+		}
+	}
+	w.result.OK = w.enough()
+	if w.result.OK {
+		w.result.Ran, w.result.Body = jujubegate.Ran, w.top.Bytes()
+		return w.result
+	}
+	if w.result.Reason = reason; reason == "" {
+		w.result.Reason = jujubegate.NoCoverage
+	}
+	return w.result
+}
--- a/hedger/latency.go
+++ b/hedger/latency.go
@@ -32,6 +32,8 @@
 
 // RouteLatency learns the hedge delay of one route. It is safe for concurrent use.
 type RouteLatency struct {
+	// quantile is the share of samples, in percent, below the delay.
+	quantile float64
 	delay   atomic.Int64
 	typical atomic.Int64
 
@@ -43,9 +45,14 @@
 	pending int
 }
 
-// NewRouteLatency returns a latency without samples.
-func NewRouteLatency() *RouteLatency {
-	l := &RouteLatency{current: newHistogram(), previous: newHistogram()}
+// NewRouteLatency returns a latency without samples whose delay is the default
+// quantile.
+func NewRouteLatency() *RouteLatency { return NewRouteLatencyAt(hedgeQuantile) }
+
+// NewRouteLatencyAt returns a latency without samples whose delay is the
+// quantile, in percent.
+func NewRouteLatencyAt(quantile float64) *RouteLatency {
+	l := &RouteLatency{quantile: quantile, current: newHistogram(), previous: newHistogram()}
 	l.delay.Store(int64(defaultDelay))
 	return l
 }
@@ -92,7 +99,7 @@
 	var delay, typical time.Duration
 	for _, h := range [...]*hdrhistogram.Histogram{l.current, l.previous} {
 		if h.TotalCount() >= minSamples {
-			delay = max(delay, time.Duration(h.ValueAtQuantile(hedgeQuantile))*time.Microsecond)
+			delay = max(delay, time.Duration(h.ValueAtQuantile(l.quantile))*time.Microsecond)
 			typical = max(typical, time.Duration(h.ValueAtQuantile(50))*time.Microsecond)
 		}
 	}
--- a/recorder/metric.go
+++ b/recorder/metric.go
@@ -44,6 +44,19 @@
 	Generation         = Metric{"Generation", KindGauge, "generation", "generation of the configuration in force"}
 	Epoch              = Metric{"Epoch", KindGauge, "epoch", "epoch of the membership view in force"}
 	Serving            = Metric{"Serving", KindGauge, "", "1 if the serving lease is valid, else 0"}
+	Forwarded          = Metric{"Forwarded", KindCounter, "requests", "opaque requests received from callers"}
+	ForwardedAnswered  = Metric{"ForwardedAnswered", KindCounter, "requests", "opaque requests answered with success"}
+	ForwardedPartial   = Metric{"ForwardedPartial", KindCounter, "requests", "gathered answers with missing shards"}
+	ForwardedRefused   = Metric{"ForwardedRefused", KindCounter, "requests", "opaque requests refused before they ran"}
+	ForwardedFailed    = Metric{"ForwardedFailed", KindCounter, "requests", "opaque requests that failed and may have run"}
+	ForwardedLatency   = Metric{"ForwardedLatency", KindHistogram, "µs", "time from the arrival of an opaque request to its answer"}
+	ConnectionsOpened  = Metric{"ConnectionsOpened", KindCounter, "connections", "connections opened to targets for opaque requests"}
+	ConfigurationInUse = Metric{"ConfigurationInUse", KindGauge, "version", "version of the platform's configuration in force"}
+	TargetsKnown       = Metric{"TargetsKnown", KindGauge, "targets", "listed targets that new requests may use"}
+	InstancesKnown     = Metric{"InstancesKnown", KindGauge, "instances", "instances that serve, this one included"}
+	StoreCalls         = Metric{"StoreCalls", KindCounter, "calls", "calls to the platform's store"}
+	StoreFailures      = Metric{"StoreFailures", KindCounter, "calls", "calls to the platform's store without a usable answer"}
+	LogLinesDropped    = Metric{"LogLinesDropped", KindCounter, "lines", "log lines left out to bound their volume"}
 )
 
 // Metrics lists all metrics of an instance.
@@ -52,6 +65,9 @@
 	SubRequests, SubRequestsHedged, SubRequestsRetried, AnswersDropped,
 	TargetLatency, TargetsOwned, Orders, OrdersUnknown,
 	Generation, Epoch, Serving,
+	Forwarded, ForwardedAnswered, ForwardedPartial, ForwardedRefused, ForwardedFailed, ForwardedLatency,
+	ConnectionsOpened, ConfigurationInUse, TargetsKnown, InstancesKnown,
+	StoreCalls, StoreFailures, LogLinesDropped,
 }
 
 // Page returns the reference page of the metrics in Markdown.
--- /dev/null
+++ b/sender/sender.go
@@ -0,0 +1,420 @@
+// Package sender sends one request to a target of one service, and again to
+// another one where the request allows it and the budget of the service holds.
+package sender
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"jujubegate.example/jujubegate"
+	"jujubegate.example/jujubegate/balancer"
+	"jujubegate.example/jujubegate/connector"
+	"jujubegate.example/jujubegate/hedger"
+	"jujubegate.example/jujubegate/router"
+	"jujubegate.example/jujubegate/tracker"
+)
+
+const (
+	// hedgeQuantile is the share of tries, in percent, that end before a hedge
+	// is due. The others are half of the usual budget of repeats.
+	hedgeQuantile = 90
+	// budgetShare is the part of the fleet's budget of repeats that is spent.
+	// The rest covers instances that are not yet known.
+	budgetShare = 0.9
+	// retryReserve is the number of saved repeats that hedges leave to retries,
+	// without which a request fails.
+	retryReserve = 1
+	// minSilence is the least time without an answer after which a target
+	// counts as paused.
+	minSilence = 15 * time.Millisecond
+	// unsentTries bounds the tries that did not reach their target.
+	unsentTries = 4
+)
+
+// Settings are the dependencies of a Sender.
+type Settings struct {
+	Tracker *tracker.Tracker
+	Clock   jujubegate.Clock
+	// RepeatRatio and RepeatAllowance bound the repeats of each service over
+	// all instances: a share of its requests and a number, in any window.
+	RepeatRatio, RepeatAllowance float64
+	// Instances returns the number of instances that share the budget.
+	Instances func() int
+	// Observe receives each try that ended; nil ignores it.
+	Observe func(Try)
+	Seed    uint64
+}
+
+// Sender sends requests. It is safe for concurrent use.
+type Sender struct {
+	settings Settings
+
+	mu         sync.Mutex
+	random     *rand.Rand
+	allowances map[jujubegate.Service]*hedger.Allowance
+	latencies  map[jujubegate.Route]*hedger.RouteLatency
+}
+
+// New returns a sender without samples.
+func New(settings Settings) *Sender {
+	return &Sender{
+		settings:   settings,
+		random:     rand.New(rand.NewPCG(settings.Seed, 1)),
+		allowances: make(map[jujubegate.Service]*hedger.Allowance),
+		latencies:  make(map[jujubegate.Route]*hedger.RouteLatency),
+	}
+}
+
+// allowance returns the budget of repeats of a service.
+func (s *Sender) allowance(service jujubegate.Service) *hedger.Allowance {
+	most := budgetShare * s.settings.RepeatAllowance / float64(max(s.settings.Instances(), 1))
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	a, ok := s.allowances[service]
+	if !ok {
+		a = hedger.NewAllowance(budgetShare*s.settings.RepeatRatio, most)
+		s.allowances[service] = a
+		return a
+	}
+	a.SetBounds(budgetShare*s.settings.RepeatRatio, most)
+	return a
+}
+
+// Latency returns the latency of the tries of a route.
+func (s *Sender) Latency(route jujubegate.Route) *hedger.RouteLatency {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	l, ok := s.latencies[route]
+	if !ok {
+		l = hedger.NewRouteLatencyAt(hedgeQuantile)
+		s.latencies[route] = l
+	}
+	return l
+}
+
+// Send sends the call and waits for its outcome. The end of the context ends
+// the call: with the cause ErrAbandoned of package connector the tries go on at
+// their targets, with any other they are cancelled.
+func (s *Sender) Send(ctx context.Context, c Call) Outcome {
+	r := &run{
+		sender: s, call: c, ctx: ctx, start: s.settings.Clock.Now(),
+		results: make(chan ended, c.Route.Attempts+unsentTries),
+		budget:  s.allowance(c.Service), latency: s.Latency(c.Route.Name),
+	}
+	r.budget.First()
+	return r.loop()
+}
+
+// run is one call in progress.
+type run struct {
+	sender  *Sender
+	call    Call
+	ctx     context.Context
+	start   time.Time
+	budget  *hedger.Allowance
+	latency *hedger.RouteLatency
+
+	results chan ended
+	cancels []context.CancelCauseFunc
+	tried   []*tracker.Replica
+	tries   []Try
+	inHand  int
+	sent    int
+	unsent  int
+	// mayHaveRun is set once a try may have run without a usable answer.
+	mayHaveRun bool
+	// failure is a target's own failure, kept in case nothing better comes.
+	failure *ended
+}
+
+// ended is the end of one try.
+type ended struct {
+	index   int
+	replica *tracker.Replica
+	answer  connector.Answer
+	err     error
+	sentAt  time.Time
+	end     End
+}
+
+func (r *run) loop() Outcome {
+	defer r.abandon()
+	if reason := r.next(First); reason != "" {
+		return r.without(reason)
+	}
+	hedge := r.sender.settings.Clock.After(r.hedgeDelay())
+	for {
+		select {
+		case e := <-r.results:
+			r.inHand--
+			if outcome, done := r.settle(e); done {
+				return outcome
+			}
+		case <-hedge:
+			hedge = nil
+			if !r.mayHedge() {
+				continue
+			}
+			// Without a better target or a budget just now, another look follows.
+			r.next(Hedge)
+			hedge = r.sender.settings.Clock.After(r.hedgeDelay())
+		case <-r.ctx.Done():
+			return r.interrupted()
+		}
+	}
+}
+
+func (r *run) hedgeDelay() time.Duration { return r.latency.Delay() }
+
+// silence is the time without an answer after which a target counts as paused.
+func (r *run) silence() time.Duration { return max(r.latency.Delay(), minSilence) }
+
+func (r *run) mayHedge() bool {
+	return r.call.Route.Idempotent && r.sent < r.call.Route.Attempts && r.inHand > 0
+}
+
+// next starts a try at the best target left, or returns why there is none.
+func (r *run) next(why Why) jujubegate.Reason {
+	now := r.sender.settings.Clock.Now()
+	replica := r.choose(now, why)
+	if replica == nil {
+		return jujubegate.NoCoverage
+	}
+	if why != First && r.sent > 0 && !r.budget.Take(reserveFor(why)) {
+		return jujubegate.Overloaded
+	}
+	if !replica.Admit(now) {
+		return jujubegate.Overloaded
+	}
+	r.tried = append(r.tried, replica)
+	r.tries = append(r.tries, Try{Target: replica.Entry().ID, Why: why, At: now.Sub(r.start)})
+	r.inHand++
+	r.sent++
+	ctx, cancel := context.WithCancelCause(r.ctx)
+	r.cancels = append(r.cancels, cancel)
+	replica.Begin(now)
+	go r.try(ctx, len(r.tries)-1, replica, now)
+	return ""
+}
+
+func reserveFor(why Why) float64 {
+	if why == Hedge {
+		return retryReserve
+	}
+	return 0
+}
+
+// choose returns the target to try next, nil if none is left. A hedge goes to a
+// target that answers; the others take a paused one if all are.
+func (r *run) choose(now time.Time, why Why) *tracker.Replica {
+	replicas := r.sender.settings.Tracker.Replicas(r.call.Service)
+	options := make([]balancer.Option, 0, len(replicas))
+	var skip, paused uint64
+	silence := r.silence()
+	for i, replica := range replicas {
+		if i >= balancer.MaxOptions {
+			break
+		}
+		options = append(options, replica.Option())
+		if r.wasTried(replica) {
+			skip |= 1 << i
+		} else if replica.Silent(now) > silence || !replica.Pool.Free() {
+			paused |= 1 << i
+		}
+	}
+	all := uint64(1)<<len(options) - 1
+	if skip == all {
+		return nil
+	}
+	if skip|paused != all {
+		skip |= paused
+	} else if why == Hedge {
+		return nil
+	}
+	r.sender.mu.Lock()
+	i := balancer.Choose(now, options, skip, r.sender.random)
+	r.sender.mu.Unlock()
+	if i < 0 {
+		return nil
+	}
+	return replicas[i]
+}
+
+func (r *run) wasTried(replica *tracker.Replica) bool {
+	for _, t := range r.tried {
+		if t == replica {
+			return true
+		}
+	}
+	return false
+}
+
+// try sends the request to one target.
+func (r *run) try(ctx context.Context, index int, replica *tracker.Replica, sentAt time.Time) {
+	answer, err := replica.Pool.Send(ctx, r.call.Request)
+	now := r.sender.settings.Clock.Now()
+	took := now.Sub(sentAt)
+	end := classify(&answer, err)
+	replica.SetLoad(answer.Load)
+	replica.Done(now, verdict(end, &answer, err), took)
+	if end == Misdirected {
+		r.sender.settings.Tracker.Misdirected(replica)
+	}
+	if end == Answered || end == Overtaken {
+		r.latency.Observe(now, took)
+	}
+	r.results <- ended{index: index, replica: replica, answer: answer, err: err, sentAt: sentAt, end: end}
+}
+
+// classify says how a try ended.
+func classify(a *connector.Answer, err error) End {
+	switch {
+	case errors.Is(err, connector.ErrNotSent):
+		return NotSent
+	case errors.Is(err, connector.ErrAbandoned):
+		return Overtaken
+	case cancelled(err):
+		return Cancelled
+	case err != nil:
+		return Broken
+	case a.Misdirected:
+		return Misdirected
+	case a.NotRun:
+		return Refused
+	case a.Signature == "":
+		return Broken
+	}
+	return Answered
+}
+
+func cancelled(err error) bool {
+	return errors.Is(err, context.Canceled) || errors.Is(err, context.DeadlineExceeded)
+}
+
+// verdict says what the end of a try tells about its target.
+func verdict(end End, a *connector.Answer, err error) balancer.End {
+	if errors.Is(err, connector.ErrNotSent) && (errors.Is(err, connector.ErrAbandoned) || cancelled(err)) {
+		return balancer.Abandoned
+	}
+	switch end {
+	case Answered:
+		if a.Status >= 500 {
+			return balancer.Failed
+		}
+		return balancer.Answered
+	case NotSent, Broken:
+		return balancer.Failed
+	case Refused:
+		return balancer.Refused
+	case Misdirected:
+		return balancer.Excluded
+	case Overtaken:
+		return balancer.Overtaken
+	}
+	return balancer.Abandoned
+}
+
+// settle takes in the end of a try, and returns the outcome if that decides it.
+func (r *run) settle(e ended) (Outcome, bool) {
+	t := &r.tries[e.index]
+	t.Took, t.End, t.Status, t.Err = r.sender.settings.Clock.Since(e.sentAt), e.end, e.answer.Status, e.err
+	r.observe(*t)
+	switch e.end {
+	case Answered:
+		if e.answer.Status < 500 || !r.call.Route.Idempotent {
+			return r.answered(e), true
+		}
+		r.failure = &e
+	case NotSent:
+		r.sent--
+		r.unsent++
+	case Broken, Cancelled, Overtaken:
+		r.mayHaveRun = true
+	}
+	if r.ctx.Err() != nil {
+		return r.interrupted(), true
+	}
+	if r.mayRetry() && r.next(Retry) == "" {
+		return Outcome{}, false
+	}
+	if r.inHand > 0 {
+		return Outcome{}, false
+	}
+	if r.failure != nil {
+		return r.answered(*r.failure), true
+	}
+	return r.without(reasonOf(e)), true
+}
+
+// mayRetry reports whether the request may be sent once more: a request that
+// must not run twice only if no target can have run it.
+func (r *run) mayRetry() bool {
+	if r.sent >= r.call.Route.Attempts || r.unsent >= unsentTries {
+		return false
+	}
+	return r.call.Route.Idempotent || !r.mayHaveRun && r.inHand == 0
+}
+
+func reasonOf(e ended) jujubegate.Reason {
+	switch e.end {
+	case NotSent:
+		return jujubegate.TargetDown
+	case Refused:
+		return jujubegate.Shed
+	case Misdirected:
+		return jujubegate.NotOwner
+	}
+	return jujubegate.BadAnswer
+}
+
+func (r *run) answered(e ended) Outcome {
+	return Outcome{
+		Answer: e.answer, OK: true, Target: e.replica.Entry().ID,
+		Ran: jujubegate.Ran, Tries: r.tries,
+	}
+}
+
+func (r *run) without(reason jujubegate.Reason) Outcome {
+	ran := jujubegate.NotRun
+	if r.mayHaveRun || r.inHand > 0 || r.failure != nil {
+		ran = jujubegate.Unknown
+	}
+	return Outcome{Ran: ran, Reason: reason, Tries: r.tries}
+}
+
+// interrupted is the outcome of a call whose context has ended. A failure that
+// a target reported is better than none.
+func (r *run) interrupted() Outcome {
+	if r.failure != nil {
+		return r.answered(*r.failure)
+	}
+	if errors.Is(context.Cause(r.ctx), context.DeadlineExceeded) {
+		return r.without(jujubegate.DeadlinePassed)
+	}
+	return r.without(jujubegate.Cancelled)
+}
+
+// abandon ends the tries that are left when the call has its outcome. They go
+// on at their targets unless the request itself has ended.
+func (r *run) abandon() {
+	for _, cancel := range r.cancels {
+		cancel(connector.ErrAbandoned)
+	}
+}
+
+func (r *run) observe(t Try) {
+	if r.sender.settings.Observe != nil {
+		r.sender.settings.Observe(t)
+	}
+}
+
+// Timeout returns the time until which a call on the route may take.
+func Timeout(route *router.Route, arrival time.Time, left time.Duration) time.Time {
+	if route.Timeout > 0 {
+		left = min(left, route.Timeout)
+	}
+	return arrival.Add(left)
+}
--- /dev/null
+++ b/tracker/replica.go
@@ -0,0 +1,141 @@
+package tracker
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"jujubegate.example/jujubegate"
+	"jujubegate.example/jujubegate/balancer"
+	"jujubegate.example/jujubegate/connector"
+)
+
+// Entry is what the list of targets says of one target. It is immutable.
+type Entry struct {
+	ID         string
+	Address    jujubegate.Address
+	Service    jujubegate.Service
+	DataCentre jujubegate.DataCentre
+	Version    jujubegate.Version
+	// Slots is the number of requests that the target runs at once.
+	Slots    int
+	Draining bool
+	// ColdFor is how long the target was still cold when the entry was written.
+	ColdFor time.Duration
+	// Started tells apart the incarnations of a target that keeps its ID.
+	Started int64
+}
+
+// same reports whether both entries describe the same incarnation.
+func (e Entry) same(other Entry) bool {
+	return e.ID == other.ID && e.Started == other.Started && e.Address == other.Address &&
+		e.Service == other.Service && e.Version == other.Version
+}
+
+// Replica is one target with its connections and what was seen of it. It is
+// safe for concurrent use.
+type Replica struct {
+	Pool  *connector.Pool
+	Score *balancer.Replica
+
+	entry atomic.Pointer[Entry]
+	load  atomic.Pointer[connector.Load]
+	// misdirected is set once another target has answered at the address.
+	misdirected atomic.Bool
+	// lapsedAt is when the entry left the list; zero while it is listed.
+	lapsedAt time.Time
+	// suspect is set if the entry left the list while the store was fine.
+	suspect bool
+
+	mu          sync.Mutex
+	outstanding int
+	// silentSince is when the target last answered, or when the first of the
+	// outstanding requests was sent, whichever is later.
+	silentSince time.Time
+	coldUntil   time.Time
+	cold        *rate.Limiter
+}
+
+// Entry returns the newest entry.
+func (r *Replica) Entry() *Entry { return r.entry.Load() }
+
+// Begin notes that a request is sent.
+func (r *Replica) Begin(now time.Time) {
+	r.Score.Begin()
+	r.mu.Lock()
+	if r.outstanding == 0 {
+		r.silentSince = now
+	}
+	r.outstanding++
+	r.mu.Unlock()
+}
+
+// Done notes the end of a request that took the time from its sending.
+func (r *Replica) Done(now time.Time, end balancer.End, took time.Duration) {
+	r.Score.Done(now, end, took)
+	r.mu.Lock()
+	r.outstanding--
+	if end == balancer.Answered || end == balancer.Refused {
+		r.silentSince = now
+	}
+	r.mu.Unlock()
+}
+
+// Silent returns how long requests have been waiting without any answer of the
+// target; 0 if none is waiting.
+func (r *Replica) Silent(now time.Time) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.outstanding == 0 {
+		return 0
+	}
+	return now.Sub(r.silentSince)
+}
+
+// SetLoad records the load that the target reported.
+func (r *Replica) SetLoad(l connector.Load) {
+	if !l.At.IsZero() {
+		r.load.Store(&l)
+	}
+}
+
+// SetMisdirected records that another target has the address now.
+func (r *Replica) SetMisdirected() { r.misdirected.Store(true) }
+
+// Option returns the replica as a choice of the balancer.
+func (r *Replica) Option() balancer.Option {
+	o := balancer.Option{Replica: r.Score, State: jujubegate.Warm, Limit: max(r.Entry().Slots, 1)}
+	if l := r.load.Load(); l != nil {
+		o.Load = l.Running + l.Waiting
+	}
+	return o
+}
+
+// setCold starts the limit of a cold target.
+func (r *Replica) setCold(until time.Time, perSecond float64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.coldUntil = until
+	if perSecond <= 0 {
+		r.cold = nil
+		return
+	}
+	if r.cold == nil {
+		r.cold = rate.NewLimiter(rate.Limit(perSecond), 1)
+		return
+	}
+	r.cold.SetLimit(rate.Limit(perSecond))
+}
+
+// Admit reports whether the target may get one more request now, which then
+// counts against its limit while it is cold.
+func (r *Replica) Admit(now time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.cold == nil || !now.Before(r.coldUntil) {
+		return true
+	}
+	return r.cold.AllowN(now, 1)
+}
--- /dev/null
+++ b/tracker/tracker.go
@@ -0,0 +1,261 @@
+// Package tracker keeps the targets that may be used: those that the platform
+// lists, less those that leave, were taken out or answer as somebody else.
+package tracker
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"jujubegate.example/jujubegate"
+	"jujubegate.example/jujubegate/balancer"
+	"jujubegate.example/jujubegate/connector"
+	"jujubegate.example/jujubegate/router"
+)
+
+// connectionShare is the part of a target's connections that the instances
+// share; the rest is left for those of instances that ended a moment ago.
+const connectionShare = 0.9
+
+// Settings are the dependencies of a Tracker.
+type Settings struct {
+	Clock jujubegate.Clock
+	Log   *zap.Logger
+	// Hold is how long a target whose entry is gone may still be used: entries
+	// can lapse while the store is away although their targets live.
+	Hold time.Duration
+	// NewPool returns the connections to a target; a test replaces it.
+	NewPool func(e Entry, bound int) *connector.Pool
+	// ColdFactor and ColdAllowance bound what cold targets get in a second:
+	// the rate times the factor, plus the allowance.
+	ColdFactor, ColdAllowance float64
+}
+
+// Tracker keeps the targets. It is safe for concurrent use.
+type Tracker struct {
+	settings Settings
+	current  atomic.Pointer[view]
+
+	mu       sync.Mutex
+	replicas map[string]*Replica
+	table    *router.Table
+	out      jujubegate.Set[jujubegate.DataCentre]
+	// instances is the number of instances that share the targets.
+	instances int
+}
+
+// view is what requests are chosen from. It is immutable.
+type view struct {
+	services map[jujubegate.Service][]*Replica
+}
+
+// New returns a tracker without targets.
+func New(settings Settings) *Tracker {
+	t := &Tracker{settings: settings, replicas: make(map[string]*Replica), instances: 1}
+	t.current.Store(&view{})
+	return t
+}
+
+// Replicas returns the targets of a service that new requests may use.
+func (t *Tracker) Replicas(service jujubegate.Service) []*Replica {
+	return t.current.Load().services[service]
+}
+
+// Known returns the number of targets that new requests may use.
+func (t *Tracker) Known() int {
+	n := 0
+	for _, list := range t.current.Load().services {
+		n += len(list)
+	}
+	return n
+}
+
+// SetTable replaces the configuration.
+func (t *Tracker) SetTable(table *router.Table) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.table = table
+	t.bound()
+	t.publish()
+}
+
+// SetOut replaces the data centres that are out of service.
+func (t *Tracker) SetOut(out jujubegate.Set[jujubegate.DataCentre]) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.out = out
+	t.publish()
+}
+
+// SetInstances replaces the number of instances that share the targets.
+func (t *Tracker) SetInstances(n int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if n = max(n, 1); n != t.instances {
+		t.instances = n
+		t.bound()
+	}
+}
+
+// Update replaces the list of targets. A target that is missing is used for a
+// while longer where no listed one is left, or, if the store was in trouble,
+// like the others.
+func (t *Tracker) Update(entries []Entry, trouble bool) {
+	now := t.settings.Clock.Now()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	listed := make(map[string]struct{}, len(entries))
+	for _, e := range entries {
+		listed[e.ID] = struct{}{}
+		t.put(e, now)
+	}
+	for id, r := range t.replicas {
+		if _, ok := listed[id]; ok || !r.lapsedAt.IsZero() {
+			continue
+		}
+		r.lapsedAt, r.suspect = now, !trouble
+		t.settings.Log.Info("tracker: target is no longer listed", zap.String("Target", id),
+			zap.String("Service", string(r.Entry().Service)), zap.Bool("StoreTrouble", trouble))
+	}
+	t.publish()
+}
+
+// sweepPeriod is the time between two looks for targets whose hold has ended.
+const sweepPeriod = 100 * time.Millisecond
+
+// Run removes targets whose entries are gone for good, until the context ends.
+func (t *Tracker) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		t.sweep()
+		select {
+		case <-t.settings.Clock.After(sweepPeriod):
+		case <-ctx.Done():
+		}
+	}
+}
+
+func (t *Tracker) sweep() {
+	now := t.settings.Clock.Now()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	removed := false
+	for id, r := range t.replicas {
+		if !r.lapsedAt.IsZero() && now.Sub(r.lapsedAt) >= t.settings.Hold {
+			t.remove(id, r, "no longer listed")
+			removed = true
+		}
+	}
+	if removed {
+		t.publish()
+	}
+}
+
+func (t *Tracker) put(e Entry, now time.Time) {
+	r := t.replicas[e.ID]
+	if r != nil && e.Started < r.Entry().Started {
+		// A late report of the incarnation before.
+		return
+	}
+	if r != nil && !r.Entry().same(e) {
+		t.remove(e.ID, r, "restarted")
+		r = nil
+	}
+	if r == nil {
+		r = &Replica{Pool: t.settings.NewPool(e, t.connections(e.Service)), Score: balancer.NewReplica(e.Address)}
+		r.entry.Store(&e)
+		t.replicas[e.ID] = r
+		t.settings.Log.Info("tracker: target added", zap.String("Target", e.ID), zap.String("Address", string(e.Address)),
+			zap.String("Service", string(e.Service)), zap.String("DataCentre", string(e.DataCentre)),
+			zap.String("Version", string(e.Version)), zap.Bool("Draining", e.Draining), zap.Duration("ColdFor", e.ColdFor))
+		t.startCold(r, e, now)
+		return
+	}
+	old := *r.Entry()
+	r.lapsedAt, r.suspect = time.Time{}, false
+	if old == e {
+		return
+	}
+	r.entry.Store(&e)
+	if old.Draining != e.Draining {
+		t.settings.Log.Info("tracker: target drains", zap.String("Target", e.ID),
+			zap.String("Service", string(e.Service)), zap.Bool("Draining", e.Draining))
+	}
+	if old.ColdFor != e.ColdFor {
+		t.startCold(r, e, now)
+	}
+}
+
+func (t *Tracker) startCold(r *Replica, e Entry, now time.Time) {
+	if e.ColdFor <= 0 {
+		return
+	}
+	var perSecond float64
+	if t.table != nil {
+		if s, ok := t.table.Service(e.Service); ok {
+			perSecond = s.ColdRate
+		}
+	}
+	r.setCold(now.Add(e.ColdFor), perSecond/float64(t.instances))
+}
+
+func (t *Tracker) remove(id string, r *Replica, why string) {
+	delete(t.replicas, id)
+	r.Pool.Close()
+	t.settings.Log.Info("tracker: target removed", zap.String("Target", id),
+		zap.String("Service", string(r.Entry().Service)), zap.String("Why", why))
+}
+
+// connections returns how many connections this instance may open to a target.
+func (t *Tracker) connections(service jujubegate.Service) int {
+	if t.table == nil {
+		return 1
+	}
+	s, ok := t.table.Service(service)
+	if !ok || s.Connections <= 0 {
+		return 1
+	}
+	return max(int(connectionShare*float64(s.Connections))/t.instances, 1)
+}
+
+func (t *Tracker) bound() {
+	for _, r := range t.replicas {
+		r.Pool.SetBound(t.connections(r.Entry().Service))
+	}
+}
+
+// publish makes the view that requests see.
+func (t *Tracker) publish() {
+	v := &view{services: make(map[jujubegate.Service][]*Replica)}
+	suspect := make(map[jujubegate.Service][]*Replica)
+	for _, r := range t.replicas {
+		e := r.Entry()
+		switch {
+		case e.Draining || r.misdirected.Load() || t.out.Has(e.DataCentre):
+		case r.suspect:
+			suspect[e.Service] = append(suspect[e.Service], r)
+		default:
+			v.services[e.Service] = append(v.services[e.Service], r)
+		}
+	}
+	for service, list := range suspect {
+		if len(v.services[service]) == 0 {
+			v.services[service] = list
+		}
+	}
+	t.current.Store(v)
+}
+
+// Misdirected records that another target has the replica's address.
+func (t *Tracker) Misdirected(r *Replica) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if r.misdirected.Swap(true) {
+		return
+	}
+	t.settings.Log.Info("tracker: another target has the address", zap.String("Target", r.Entry().ID),
+		zap.String("Address", string(r.Entry().Address)))
+	t.publish()
+}
