Let one instance read the store for all, pause dialling after resets, reload on SIGHUP

Change: watches wait 700 ms, and the first instance in rank reads for all; peers hear revisions, ages and changes by gossip and take over when confirmations stop. New connections that end without an answer double a pause before the next dial.

--- a/cmd/jujubenode/main.go
+++ b/cmd/jujubenode/main.go
@@ -54,10 +54,10 @@
 		fmt.Println(o.Settings, "is valid")
 		return 0
 	}
-	return serve(settings)
+	return serve(o.Settings, settings)
 }
 
-func serve(settings conductor.Settings) int {
+func serve(path string, settings conductor.Settings) int {
 	clock := jujubegate.NewSteadyClock(clockwork.NewRealClock())
 	log, err := recorder.NewLog(os.Stdout, clock, settings.Log.Level, settings.Log.LinesPerSecond)
 	if err != nil {
@@ -69,6 +69,8 @@
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	signal.Ignore(syscall.SIGPIPE)
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
 	calls, failures := rec.Counter(recorder.StoreCalls), rec.Counter(recorder.StoreFailures)
 	store := platform.NewStore(settings.Store.Address, func(err error) {
 		calls.Inc()
@@ -77,7 +79,13 @@
 		}
 	})
 	rec.Publish()
-	if err := conductor.New(settings, platform.New(store.Source()), clock, log.Logger, rec).Run(ctx); err != nil {
+	c := conductor.New(settings, platform.New(store.Source()), clock, log.Logger, rec)
+	go func() {
+		for range reload {
+			c.Reload(path)
+		}
+	}()
+	if err := c.Run(ctx); err != nil {
 		return fail(exitFailed, err)
 	}
 	return 0
--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -32,17 +32,19 @@
 	// targetsPause is the time in which changes of targets are collected before
 	// the next paid watch. It is well below the time that a target which leaves
 	// goes on serving.
-	targetsPause = 250 * time.Millisecond
-	// storeTrouble is how long after a failed call to the store missing entries
-	// of targets may be due to the failure.
-	storeTrouble = 3 * time.Second
+	targetsPause = 400 * time.Millisecond
+	// outPause likewise for data centres that are taken out.
+	outPause = 800 * time.Millisecond
+	// configurationStale is the age from which on the configuration may be old,
+	// so that a route which it lacks may exist.
+	configurationStale = 2500 * time.Millisecond
 	// defaultLinesPerSecond bounds the log of one instance.
 	defaultLinesPerSecond = 200
 )
 
 // Conductor is one instance.
 type Conductor struct {
-	settings Settings
+	settings atomic.Pointer[Settings]
 	adapter  Adapter
 	clock    jujubegate.Clock
 	log      *zap.Logger
@@ -78,10 +80,11 @@
 // New returns an instance that Run starts.
 func New(settings Settings, adapter Adapter, clock jujubegate.Clock, log *zap.Logger, rec *recorder.Recorder) *Conductor {
 	c := &Conductor{
-		settings: settings, adapter: adapter, clock: clock, log: log, recorder: rec,
+		adapter: adapter, clock: clock, log: log, recorder: rec,
 		decoded: make(map[string]decodedTarget), recheck: make(chan struct{}, 1),
 		transport: &http.Transport{MaxIdleConnsPerHost: 2, DisableCompression: true},
 	}
+	c.settings.Store(&settings)
 	c.cut, c.cutNow = context.WithCancel(context.Background())
 	opened := rec.Counter(recorder.ConnectionsOpened)
 	c.tracker = tracker.New(tracker.Settings{
@@ -93,7 +96,7 @@
 	})
 	c.config = c.follow(adapter.Kinds.Configuration, 0, c.configure)
 	c.targets = c.follow(adapter.Kinds.Targets, targetsPause, c.retarget)
-	c.out = c.follow(adapter.Kinds.OutOfService, 0, c.takeOut)
+	c.out = c.follow(adapter.Kinds.OutOfService, outPause, c.takeOut)
 	c.gossiper = gossiper.New(gossiper.Settings{
 		Self: gossiper.Peer{
 			Instance: settings.Instance, Incarnation: time.Now().UnixMilli(), DataCentre: settings.DataCentre,
@@ -110,7 +113,7 @@
 	gather := gatherer.New(gatherer.Settings{Clock: clock, Send: c.sender.Send})
 	c.receiver = receiver.New(receiver.Settings{
 		Names: adapter.Names, Clock: clock, Log: log, Recorder: rec,
-		Table: c.table.Load, Current: func() bool { return !c.config.Failing() }, Leaving: c.leaving.Load,
+		Table: c.table.Load, Current: func() bool { return c.config.Age() < configurationStale }, Leaving: c.leaving.Load,
 		Send: c.sender.Send, Gather: gather.Gather,
 	})
 	rec.GaugeFunc(recorder.TargetsKnown, func() int64 { return int64(c.tracker.Known()) })
@@ -119,9 +122,18 @@
 }
 
 func (c *Conductor) follow(kind string, pause time.Duration, changed func(*replicator.State)) *replicator.Replicator {
-	return replicator.New(replicator.Settings{
-		Kind: kind, Source: c.adapter.Source, Clock: c.clock, Log: c.log, Pause: pause, Changed: changed,
+	var r *replicator.Replicator
+	r = replicator.New(replicator.Settings{
+		Kind: kind, Source: c.adapter.Source, Clock: c.clock, Log: c.log, Pause: pause,
+		Turn: func() time.Duration { return c.gossiper.Turn(r) },
+		Changed: func(s *replicator.State) {
+			changed(s)
+			if !s.FromPeer || c.gossiper.Size() > gossiper.DirectPeers {
+				c.gossiper.Kick()
+			}
+		},
 	})
+	return r
 }
 
 // instances returns the number of instances that share the targets.
@@ -175,7 +187,7 @@
 			delete(c.decoded, name)
 		}
 	}
-	c.tracker.Update(entries, c.targets.FailedWithin(storeTrouble))
+	c.tracker.Update(entries, s.Troubled)
 }
 
 func (c *Conductor) takeOut(s *replicator.State) {
@@ -211,8 +223,8 @@
 	go c.gossiper.Run(background)
 	go c.tracker.Run(background)
 	go c.register(background)
-	c.log.Info("conductor: started", zap.String("Instance", string(c.settings.Instance)),
-		zap.String("DataCentre", string(c.settings.DataCentre)), zap.String("Release", jujubegate.Release()), zap.Any("Listen", c.settings.Listen))
+	c.log.Info("conductor: started", zap.String("Instance", string(c.settings.Load().Instance)),
+		zap.String("DataCentre", string(c.settings.Load().DataCentre)), zap.String("Release", jujubegate.Release()), zap.Any("Listen", c.settings.Load().Listen))
 	select {
 	case <-ctx.Done():
 		c.leave(servers)
@@ -239,10 +251,10 @@
 		{name: "Ready", server: &http.Server{Handler: c.readyHandler(), ReadHeaderTimeout: headerTimeout}},
 		{name: "Lookup", server: &http.Server{Handler: c.lookupHandler(), ReadHeaderTimeout: headerTimeout}},
 	}
-	addresses := []string{c.settings.Listen.Callers, c.settings.Listen.Peers, c.settings.Listen.Ready, c.settings.Listen.Lookup}
-	if c.settings.Listen.Metrics != "" {
+	addresses := []string{c.settings.Load().Listen.Callers, c.settings.Load().Listen.Peers, c.settings.Load().Listen.Ready, c.settings.Load().Listen.Lookup}
+	if c.settings.Load().Listen.Metrics != "" {
 		list = append(list, served{name: "Metrics", server: &http.Server{Handler: c.recorder, ReadHeaderTimeout: headerTimeout}})
-		addresses = append(addresses, c.settings.Listen.Metrics)
+		addresses = append(addresses, c.settings.Load().Listen.Metrics)
 	}
 	for i := range list {
 		l, err := net.Listen("tcp", addresses[i])
--- a/conductor/lifecycle.go
+++ b/conductor/lifecycle.go
@@ -6,8 +6,6 @@
 	"time"
 
 	"go.uber.org/zap"
-
-	"jujubegate.example/jujubegate/replicator"
 )
 
 const (
@@ -24,10 +22,24 @@
 	registerBackoff = time.Second
 )
 
+// Reload reads the settings again. Seeds and bounds are taken over; the rest
+// needs a restart. Settings with findings change nothing.
+func (c *Conductor) Reload(path string) {
+	next, err := Load(path)
+	if err != nil {
+		c.log.Error("conductor: settings are not reloaded", zap.Error(err))
+		return
+	}
+	old := c.settings.Load()
+	c.settings.Store(&next)
+	c.gossiper.Contact(next.Seeds...)
+	c.log.Info("conductor: settings reloaded", zap.Strings("NeedRestart", old.unchangeable(&next)))
+}
+
 // register writes the entry of this instance and learns of the others. The
 // store is not needed for serving, so failures are retried in the background.
 func (c *Conductor) register(ctx context.Context) {
-	kind, name := c.adapter.Kinds.Instances, string(c.settings.Instance)
+	kind, name := c.adapter.Kinds.Instances, string(c.settings.Load().Instance)
 	value, err := c.adapter.EncodeInstance(c.self())
 	if err != nil {
 		c.log.Error("conductor: entry cannot be encoded", zap.Error(err))
@@ -88,7 +100,7 @@
 			continue
 		}
 		group.Go(func() {
-			left := max(c.settings.Bounds.grace()-leaveReserve-c.clock.Since(start), 0)
+			left := max(c.settings.Load().Bounds.grace()-leaveReserve-c.clock.Since(start), 0)
 			ctx, cancel := context.WithTimeout(context.Background(), left)
 			defer cancel()
 			if err := s.server.Shutdown(ctx); err == nil {
@@ -110,8 +122,8 @@
 func (c *Conductor) unregister() {
 	ctx, cancel := context.WithTimeout(context.Background(), leaveListen)
 	defer cancel()
-	err := c.adapter.Source.Delete(ctx, c.adapter.Kinds.Instances, string(c.settings.Instance))
-	if err != nil && err != replicator.ErrNotFound {
+	err := c.adapter.Source.Delete(ctx, c.adapter.Kinds.Instances, string(c.settings.Load().Instance))
+	if err != nil {
 		c.log.Warn("conductor: entry is left in the store", zap.Error(err))
 	}
 }
--- a/conductor/serve.go
+++ b/conductor/serve.go
@@ -59,14 +59,14 @@
 }
 
 func (c *Conductor) lookupValidFor() time.Duration {
-	return min(lookupValidFor, time.Duration(c.settings.Bounds.LookupSeconds*float64(time.Second)))
+	return min(lookupValidFor, time.Duration(c.settings.Load().Bounds.LookupSeconds*float64(time.Second)))
 }
 
 // addresses returns those of the instances that serve, in random order.
 func (c *Conductor) addresses() []string {
 	var addresses []string
 	if c.serving() {
-		addresses = append(addresses, c.settings.Listen.Callers)
+		addresses = append(addresses, c.settings.Load().Listen.Callers)
 	}
 	for _, p := range c.gossiper.Peers() {
 		if p.Serving {
--- a/conductor/settings.go
+++ b/conductor/settings.go
@@ -76,6 +76,23 @@
 	return s, s.check(file).Err()
 }
 
+// unchangeable returns the names of the settings that differ and need a restart.
+func (s *Settings) unchangeable(next *Settings) []string {
+	var names []string
+	for _, field := range []struct {
+		name string
+		same bool
+	}{
+		{"Instance", s.Instance == next.Instance}, {"DataCentre", s.DataCentre == next.DataCentre},
+		{"Listen", s.Listen == next.Listen}, {"Store", s.Store == next.Store}, {"Log", s.Log == next.Log},
+	} {
+		if !field.same {
+			names = append(names, field.name)
+		}
+	}
+	return names
+}
+
 func findings(file string, err error) jujubegate.Findings {
 	var unknown *toml.StrictMissingError
 	if errors.As(err, &unknown) {
--- a/connector/connection.go
+++ b/connector/connection.go
@@ -60,7 +60,9 @@
 	current *exchange
 	closed  bool
 
-	// idleSince and idleLimit are guarded by the pool.
+	// served, idleSince and idleLimit are guarded by the pool; served is set
+	// with the first answer.
+	served    bool
 	idleSince time.Time
 	idleLimit time.Duration
 	// lost is called once when the connection ends.
--- a/connector/pool.go
+++ b/connector/pool.go
@@ -32,6 +32,10 @@
 	// freshLimit is the idle time up to which a connection may carry a request
 	// that must not run twice.
 	freshLimit = time.Second
+	// minRefusal and maxRefusal bound the pause after a target has reset a new
+	// connection or could not be reached; it doubles with each one in a row.
+	minRefusal = 50 * time.Millisecond
+	maxRefusal = time.Second
 	// probeIdle, probeInterval and probeCount find connections that went
 	// silent, within 2.5 s.
 	probeIdle     = time.Second
@@ -43,6 +47,8 @@
 var (
 	ErrNotSent = errors.New("the request was not sent")
 	ErrClosed  = errors.New("the target is no longer used")
+	// ErrRefusing is the error of a target that resets new connections.
+	ErrRefusing = errors.New("the target refuses new connections")
 )
 
 // BrokenError is the end of a request that was sent and may have run.
@@ -77,6 +83,10 @@
 	open    int
 	waiters []chan grant
 	closed  bool
+	// refusals counts new connections in a row that served no request; none is
+	// opened before refusedUntil.
+	refusals     int
+	refusedUntil time.Time
 }
 
 type grant struct {
@@ -108,7 +118,19 @@
 func (p *Pool) Free() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return len(p.idle) > 0 || p.open < int(p.bound.Load())
+	return len(p.idle) > 0 || p.mayDial()
+}
+
+// mayDial reports whether one more connection may be opened now.
+func (p *Pool) mayDial() bool {
+	return p.open < int(p.bound.Load()) && !p.settings.Clock.Now().Before(p.refusedUntil)
+}
+
+// refused notes a connection that could not be used at all.
+func (p *Pool) refused() {
+	pause := min(minRefusal<<min(p.refusals, 8), maxRefusal)
+	p.refusals++
+	p.refusedUntil = p.settings.Clock.Now().Add(pause)
 }
 
 // Open returns the number of open connections.
@@ -150,6 +172,9 @@
 		}
 		res, ended := e.wait(ctx)
 		if ended {
+			if res.err == nil {
+				p.served(c)
+			}
 			p.release(c, res.keep)
 			if res.err != nil {
 				return Answer{}, &BrokenError{res.err}
@@ -191,9 +216,14 @@
 		p.mu.Unlock()
 		return c, nil
 	}
+	mayDial := p.mayDial()
+	if p.open == 0 && !mayDial {
+		p.mu.Unlock()
+		return nil, ErrRefusing
+	}
 	w := make(chan grant, 1)
 	p.waiters = append(p.waiters, w)
-	if p.open < int(p.bound.Load()) {
+	if mayDial {
 		p.open++
 		go p.dial()
 	}
@@ -260,6 +290,7 @@
 	if err != nil {
 		p.mu.Lock()
 		p.open--
+		p.refused()
 		for _, w := range p.waiters {
 			w <- grant{err: fmt.Errorf("open connection: %w", err)}
 		}
@@ -297,14 +328,29 @@
 	p.mu.Unlock()
 }
 
+// served notes an answer on a connection.
+func (p *Pool) served(c *connection) {
+	p.mu.Lock()
+	c.served, p.refusals = true, 0
+	p.mu.Unlock()
+}
+
 // lost forgets a connection that ended, and opens another one if requests wait.
 func (p *Pool) lost(c *connection) {
 	p.mu.Lock()
 	p.open--
 	p.idle = slices.DeleteFunc(p.idle, func(other *connection) bool { return other == c })
-	redial := len(p.waiters) > 0 && !p.closed && p.open < int(p.bound.Load())
+	if !c.served && !p.closed {
+		p.refused()
+	}
+	redial := len(p.waiters) > 0 && !p.closed && p.mayDial()
 	if redial {
 		p.open++
+	} else if p.open == 0 {
+		for _, w := range p.waiters {
+			w <- grant{err: ErrRefusing}
+		}
+		p.waiters = nil
 	}
 	p.mu.Unlock()
 	if redial {
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -25,9 +25,14 @@
 const (
 	// Period is the time between two rounds of exchanges.
 	Period = 500 * time.Millisecond
-	// fanOut is the number of peers that one round asks; with it news reaches
-	// 1,200 instances in about six rounds.
+	// fanOut is the number of peers that one round asks in a large fleet; with
+	// it news reaches 1,200 instances in about six rounds.
 	fanOut = 3
+	// DirectPeers is the number of peers up to which a round asks all of them.
+	DirectPeers = 16
+	// tellKnownEvery is the number of rounds of which one tells the other
+	// instances too, where all instances ask each other directly.
+	tellKnownEvery = 4
 	// exchangeTimeout bounds one exchange.
 	exchangeTimeout = 400 * time.Millisecond
 	// fetchTimeout bounds the transfer of one kind.
@@ -38,9 +43,6 @@
 	forgetAfter = time.Minute
 	// maxKnown bounds the instances told in one exchange, the newest first.
 	maxKnown = 64
-	// behindFor is how long a peer may hold a newer revision before it is
-	// fetched although the store answers.
-	behindFor = time.Second
 )
 
 // Settings are the dependencies of a Gossiper.
@@ -88,16 +90,18 @@
 	records map[string]*record
 	// contacts are peer addresses that were never heard from.
 	contacts map[string]struct{}
-	// behind is since when a peer has held a newer revision of a kind.
-	behind   map[string]time.Time
 	fetching map[string]bool
+	// failing holds the peers whose calls to the store fail, by kind.
+	failing map[string]jujubegate.Set[string]
+	kick    chan struct{}
 }
 
 // New returns a gossiper that knows itself and the seeds.
 func New(settings Settings) *Gossiper {
 	g := &Gossiper{
 		settings: settings, records: make(map[string]*record), contacts: make(map[string]struct{}),
-		behind: make(map[string]time.Time), fetching: make(map[string]bool),
+		fetching: make(map[string]bool), failing: make(map[string]jujubegate.Set[string]),
+		kick: make(chan struct{}, 1),
 	}
 	g.incarnation.Store(settings.Self.Incarnation)
 	g.Contact(settings.Seeds...)
@@ -140,11 +144,20 @@
 		}
 		select {
 		case <-g.settings.Clock.After(Period):
+		case <-g.kick:
 		case <-ctx.Done():
 		}
 	}
 }
 
+// Kick starts the next round at once, since there is news.
+func (g *Gossiper) Kick() {
+	select {
+	case g.kick <- struct{}{}:
+	default:
+	}
+}
+
 // Announce tells all live peers the state of this instance at once.
 func (g *Gossiper) Announce(ctx context.Context) {
 	g.beat.Add(1)
@@ -202,7 +215,11 @@
 	if len(live) == 0 {
 		return other[:min(len(other), fanOut)]
 	}
-	return append(live[:min(len(live), fanOut)], other[:min(len(other), 1)]...)
+	asked := fanOut
+	if len(live) <= DirectPeers {
+		asked = len(live)
+	}
+	return append(live[:min(len(live), asked)], other[:min(len(other), 1)]...)
 }
 
 // review marks instances without news as dead and forgets old ones.
@@ -240,6 +257,9 @@
 func (g *Gossiper) known() []*wire.Peering {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if len(g.records) <= DirectPeers && len(g.contacts) == 0 && g.beat.Load()%tellKnownEvery != 0 {
+		return nil
+	}
 	records := make([]*record, 0, len(g.records))
 	for _, r := range g.records {
 		if r.alive {
@@ -257,7 +277,9 @@
 func (g *Gossiper) holdings() []*wire.Holding {
 	held := make([]*wire.Holding, 0, len(g.settings.Replicators))
 	for _, r := range g.settings.Replicators {
-		held = append(held, &wire.Holding{Kind: r.Kind(), Revision: r.Revision()})
+		held = append(held, &wire.Holding{
+			Kind: r.Kind(), Revision: r.Revision(), AgeMs: r.Age().Milliseconds(), Failing: r.Failing(),
+		})
 	}
 	return held
 }
@@ -296,7 +318,7 @@
 	return connect.NewResponse(&wire.ExchangeResponse{Sender: g.self(), Known: g.known(), Holdings: g.holdings()}), nil
 }
 
-// Fetch returns the objects of a kind.
+// Fetch returns the objects of a kind, or the changes since a revision.
 func (g *Gossiper) Fetch(_ context.Context, r *connect.Request[wire.FetchRequest]) (*connect.Response[wire.FetchResponse], error) {
 	if r.Msg.Fleet != g.settings.Fleet {
 		return nil, connect.NewError(connect.CodeInvalidArgument, fmt.Errorf("fleet %q is not served here", r.Msg.Fleet))
@@ -305,14 +327,26 @@
 	if held == nil || held.State() == nil {
 		return nil, connect.NewError(connect.CodeNotFound, fmt.Errorf("kind %q is not held", r.Msg.Kind))
 	}
+	age := held.Age().Milliseconds()
+	if c, ok := held.Since(r.Msg.After); ok && r.Msg.After > 0 {
+		answer := &wire.FetchResponse{Revision: c.Revision, AgeMs: age}
+		for _, change := range c.Changes {
+			answer.Objects = append(answer.Objects, stored(change.Object, change.Removed))
+		}
+		return connect.NewResponse(answer), nil
+	}
 	s := held.State()
-	answer := &wire.FetchResponse{Revision: s.Revision, Objects: make([]*wire.StoredObject, 0, len(s.Objects))}
+	answer := &wire.FetchResponse{Revision: s.Revision, AgeMs: age, Whole: true}
 	for _, o := range s.Objects {
-		answer.Objects = append(answer.Objects, &wire.StoredObject{Name: o.Name, Revision: o.Revision, Value: o.Value})
+		answer.Objects = append(answer.Objects, stored(o, false))
 	}
 	return connect.NewResponse(answer), nil
 }
 
+func stored(o replicator.Object, removed bool) *wire.StoredObject {
+	return &wire.StoredObject{Name: o.Name, Revision: o.Revision, Value: o.Value, Removed: removed}
+}
+
 func (g *Gossiper) replicator(kind string) *replicator.Replicator {
 	for _, r := range g.settings.Replicators {
 		if r.Kind() == kind {
@@ -370,52 +404,66 @@
 	return p.Beat > old.Beat
 }
 
-// compare fetches kinds of which the peer holds a newer revision, if the store
-// does not answer here or has not told it for a while.
+// compare takes over the confirmations of a peer, and fetches the kinds of which
+// it holds a newer revision.
 func (g *Gossiper) compare(address string, holdings []*wire.Holding) {
 	for _, h := range holdings {
-		if r := g.replicator(h.Kind); r != nil && g.wants(r, h.Revision) {
+		r := g.replicator(h.Kind)
+		if r == nil {
+			continue
+		}
+		g.mu.Lock()
+		if g.failing[h.Kind].Has(address) != h.Failing {
+			if h.Failing {
+				g.failing[h.Kind] = g.failing[h.Kind].With(address)
+			} else {
+				g.failing[h.Kind] = g.failing[h.Kind].Without(address)
+			}
+		}
+		wanted := h.Revision > r.Revision() && !g.fetching[h.Kind]
+		if wanted {
+			g.fetching[h.Kind] = true
+		}
+		g.mu.Unlock()
+		if wanted {
 			go g.fetch(address, r)
+			continue
 		}
+		r.Confirm(h.Revision, time.Duration(h.AgeMs)*time.Millisecond)
 	}
 }
 
-func (g *Gossiper) wants(r *replicator.Replicator, revision int64) bool {
-	now := g.settings.Clock.Now()
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if revision <= r.Revision() {
-		delete(g.behind, r.Kind())
-		return false
-	}
-	since, ok := g.behind[r.Kind()]
-	if !ok {
-		g.behind[r.Kind()], since = now, now
-	}
-	if g.fetching[r.Kind()] || !r.Failing() && r.State() != nil && now.Sub(since) < behindFor {
-		return false
-	}
-	g.fetching[r.Kind()] = true
-	return true
-}
-
 func (g *Gossiper) fetch(address string, r *replicator.Replicator) {
 	defer func() {
 		g.mu.Lock()
 		delete(g.fetching, r.Kind())
-		delete(g.behind, r.Kind())
 		g.mu.Unlock()
 	}()
 	ctx, cancel := context.WithTimeout(context.Background(), fetchTimeout)
 	defer cancel()
-	answer, err := g.client(address).Fetch(ctx, connect.NewRequest(&wire.FetchRequest{Fleet: g.settings.Fleet, Kind: r.Kind()}))
+	after := r.Revision()
+	answer, err := g.client(address).Fetch(ctx, connect.NewRequest(&wire.FetchRequest{Fleet: g.settings.Fleet, Kind: r.Kind(), After: after}))
 	if err != nil {
 		g.settings.Log.Warn("gossiper: fetch failed", zap.String("Address", address), zap.String("Kind", r.Kind()), zap.Error(err))
 		return
 	}
-	l := replicator.Listing{Revision: answer.Msg.Revision}
-	for _, o := range answer.Msg.Objects {
-		l.Objects = append(l.Objects, replicator.Object{Name: o.Name, Revision: o.Revision, Value: o.Value})
+	m := answer.Msg
+	age := time.Duration(m.AgeMs) * time.Millisecond
+	if m.Whole {
+		l := replicator.Listing{Revision: m.Revision}
+		for _, o := range m.Objects {
+			l.Objects = append(l.Objects, object(o))
+		}
+		r.Replace(l, age, true)
+		return
 	}
-	r.Adopt(l)
+	c := replicator.Changes{Revision: m.Revision}
+	for _, o := range m.Objects {
+		c.Changes = append(c.Changes, replicator.Change{Object: object(o), Removed: o.Removed})
+	}
+	r.Apply(after, c, age)
+}
+
+func object(o *wire.StoredObject) replicator.Object {
+	return replicator.Object{Name: o.Name, Revision: o.Revision, Value: o.Value}
 }
--- /dev/null
+++ b/gossiper/turn.go
@@ -0,0 +1,67 @@
+package gossiper
+
+import (
+	"math"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"jujubegate.example/jujubegate/replicator"
+)
+
+const (
+	// takeOver is the age of the newest confirmation from which on the next
+	// instance in rank reads the store: a watch, a round and a margin.
+	takeOver = 1300 * time.Millisecond
+	// takeOverStep separates the instances further down in rank, so that not
+	// all read at once when the first one fails.
+	takeOverStep = 250 * time.Millisecond
+	// firstRead is how long a new instance waits for what peers hold.
+	firstRead = 300 * time.Millisecond
+)
+
+// Turn returns the age of the newest confirmation of a kind from which on this
+// instance reads the store itself: at once for the first in rank, so that one
+// instance reads for all while nothing fails.
+func (g *Gossiper) Turn(r *replicator.Replicator) time.Duration {
+	rank, others := g.rank(r.Kind())
+	if r.State() == nil {
+		if others == 0 {
+			return 0
+		}
+		return firstRead
+	}
+	if rank == 0 {
+		return 0
+	}
+	return takeOver + time.Duration(rank)*takeOverStep + spread(others)
+}
+
+// spread is the time that news needs to reach all instances.
+func spread(others int) time.Duration {
+	if others <= DirectPeers {
+		return 0
+	}
+	rounds := math.Ceil(math.Log(float64(others)) / math.Log(fanOut+1))
+	return time.Duration(rounds) * Period
+}
+
+// rank returns this instance's place among those that live and reach the store,
+// in an order of its own for each kind, and the number of the others that live.
+func (g *Gossiper) rank(kind string) (rank, others int) {
+	own := weight(kind, string(g.settings.Self.Instance))
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for name, r := range g.records {
+		if !r.alive {
+			continue
+		}
+		others++
+		if !g.failing[kind].Has(r.peering.PeerAddress) && weight(kind, name) > own {
+			rank++
+		}
+	}
+	return rank, others
+}
+
+func weight(kind, instance string) uint64 { return xxhash.Sum64String(kind + "/" + instance) }
--- a/replicator/replicator.go
+++ b/replicator/replicator.go
@@ -7,6 +7,7 @@
 	"errors"
 	"maps"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -17,11 +18,23 @@
 )
 
 const (
-	// watchWait is how long a watch waits; each wait is one paid call.
-	watchWait = 28 * time.Second
+	// watchWait is how long a watch waits. A watch can miss changes without an
+	// error, which the next one finds out.
+	watchWait = 700 * time.Millisecond
 	// minBackoff and maxBackoff bound the pause after a failed call.
 	minBackoff = 100 * time.Millisecond
 	maxBackoff = time.Second
+	// turnCheck is the time between two looks whether it is this instance's
+	// turn to read.
+	turnCheck = 50 * time.Millisecond
+	// gapLimit is the time between two confirmations from which on the store
+	// counts as having been away.
+	gapLimit = 1500 * time.Millisecond
+	// troubleFor is how long after the store's return objects may be missing that
+	// have lapsed meanwhile: they are back within about two seconds.
+	troubleFor = 3 * time.Second
+	// historyLength is the number of changes kept for instances that are behind.
+	historyLength = 1024
 )
 
 // Settings are the dependencies of a Replicator.
@@ -31,8 +44,11 @@
 	Clock  jujubegate.Clock
 	Log    *zap.Logger
 	// Pause is the time between two watches, in which changes are collected:
-	// each watch that returns is one paid call.
+	// each watch is one paid call.
 	Pause time.Duration
+	// Turn returns the age of the newest confirmation from which on this
+	// instance reads the store itself.
+	Turn func() time.Duration
 	// Changed is called with each new state, one at a time.
 	Changed func(*State)
 }
@@ -43,22 +59,41 @@
 	Objects  map[string]Object
 	// FromPeer says that another instance told the state.
 	FromPeer bool
+	// Troubled says that the store was away a moment before, so that missing
+	// objects may have lapsed although their owners live.
+	Troubled bool
 }
 
 // Replicator keeps the copy of one kind. It is safe for concurrent use.
 type Replicator struct {
 	settings Settings
 	state    atomic.Pointer[State]
-	// failing is set while the store does not answer, failedAt the time of the
-	// last failure in Unix nanoseconds.
 	failing  atomic.Bool
-	failedAt atomic.Int64
 
 	mu sync.Mutex
+	// confirmedAt is when some instance last read from the store that nothing
+	// newer than the state exists.
+	confirmedAt time.Time
+	// gapEndedAt is when a confirmation came after a time without any.
+	gapEndedAt time.Time
+	// history holds the newest changes, each with the revision it led to;
+	// since is the revision that they follow on.
+	history []step
+	since   int64
+	// cursor is the revision up to which the state is known to be unchanged.
+	cursor int64
+}
+
+// step is the changes between two revisions of the history.
+type step struct {
+	changes  []Change
+	revision int64
 }
 
 // New returns a replicator without a state.
-func New(settings Settings) *Replicator { return &Replicator{settings: settings} }
+func New(settings Settings) *Replicator {
+	return &Replicator{settings: settings, confirmedAt: settings.Clock.Now()}
+}
 
 // Kind returns the kind of the objects.
 func (r *Replicator) Kind() string { return r.settings.Kind }
@@ -74,27 +109,50 @@
 	return 0
 }
 
-// Failing reports whether the store did not answer the last call.
+// Age returns how long ago some instance last read from the store that the
+// state is the newest.
+func (r *Replicator) Age() time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.settings.Clock.Now().Sub(r.confirmedAt)
+}
+
+// Failing reports whether this instance's last call to the store failed.
 func (r *Replicator) Failing() bool { return r.failing.Load() }
 
-// FailedWithin reports whether a call to the store failed in the time just past.
-func (r *Replicator) FailedWithin(d time.Duration) bool {
-	at := r.failedAt.Load()
-	return at != 0 && r.settings.Clock.Now().Sub(time.Unix(0, at)) < d
+// Confirm notes that a peer which holds the same revision confirmed it so long
+// ago.
+func (r *Replicator) Confirm(revision int64, age time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.state.Load() != nil && revision == r.Revision() {
+		r.confirm(r.settings.Clock.Now().Add(-age))
+	}
+}
+
+func (r *Replicator) confirm(at time.Time) {
+	if !at.After(r.confirmedAt) {
+		return
+	}
+	if at.Sub(r.confirmedAt) > gapLimit {
+		r.gapEndedAt = r.settings.Clock.Now()
+	}
+	r.confirmedAt = at
 }
 
-// Run follows the store until the context ends.
+func (r *Replicator) troubled() bool {
+	return !r.gapEndedAt.IsZero() && r.settings.Clock.Now().Sub(r.gapEndedAt) < troubleFor
+}
+
+// Run reads the store whenever it is this instance's turn, until the context ends.
 func (r *Replicator) Run(ctx context.Context) {
 	backoff := minBackoff
-	listed := false
 	for ctx.Err() == nil {
-		var err error
-		if !listed {
-			err = r.list(ctx)
-			listed = err == nil
-		} else {
-			err = r.watch(ctx)
+		if due := r.settings.Turn() - r.Age(); due > 0 {
+			r.sleep(ctx, min(due, turnCheck))
+			continue
 		}
+		err := r.read(ctx)
 		switch {
 		case err == nil:
 			r.recovered()
@@ -102,9 +160,6 @@
 			r.sleep(ctx, r.settings.Pause)
 		case ctx.Err() != nil:
 			return
-		case errors.Is(err, ErrHistoryGone):
-			r.settings.Log.Info("replicator: history is gone, listing again", zap.String("Kind", r.settings.Kind), zap.Int64("Revision", r.Revision()))
-			listed = false
 		default:
 			r.failed(err)
 			r.sleep(ctx, backoff/2+rand.N(backoff))
@@ -113,6 +168,34 @@
 	}
 }
 
+// read makes one paid call: a watch, or a listing if the history is gone.
+func (r *Replicator) read(ctx context.Context) error {
+	if revision := r.position(); revision > 0 {
+		c, err := r.settings.Source.Watch(ctx, r.settings.Kind, revision, watchWait)
+		if err == nil {
+			r.Apply(revision, c, 0)
+			return nil
+		}
+		if !errors.Is(err, ErrHistoryGone) {
+			return err
+		}
+		r.settings.Log.Info("replicator: history is gone, listing again", zap.String("Kind", r.settings.Kind), zap.Int64("Revision", revision))
+	}
+	l, err := r.settings.Source.List(ctx, r.settings.Kind)
+	if err != nil {
+		return err
+	}
+	r.Replace(l, 0, false)
+	return nil
+}
+
+// position is the revision from which a watch goes on.
+func (r *Replicator) position() int64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return max(r.cursor, r.Revision())
+}
+
 func (r *Replicator) sleep(ctx context.Context, d time.Duration) {
 	if d <= 0 {
 		return
@@ -124,9 +207,9 @@
 }
 
 func (r *Replicator) failed(err error) {
-	r.failedAt.Store(r.settings.Clock.Now().UnixNano())
 	if !r.failing.Swap(true) {
-		r.settings.Log.Warn("replicator: store lost", zap.String("Kind", r.settings.Kind), zap.Int64("Revision", r.Revision()), zap.Error(err))
+		r.settings.Log.Warn("replicator: store lost", zap.String("Kind", r.settings.Kind),
+			zap.Int64("Revision", r.Revision()), zap.Duration("Age", r.Age()), zap.Error(err))
 	}
 }
 
@@ -136,48 +219,41 @@
 	}
 }
 
-func (r *Replicator) list(ctx context.Context) error {
-	l, err := r.settings.Source.List(ctx, r.settings.Kind)
-	if err != nil {
-		return err
-	}
-	r.replace(l, false)
-	return nil
-}
-
-func (r *Replicator) watch(ctx context.Context) error {
-	c, err := r.settings.Source.Watch(ctx, r.settings.Kind, r.Revision(), watchWait)
-	if err != nil {
-		return err
-	}
-	r.apply(c)
-	return nil
-}
-
-// Adopt takes over the state of another instance if it is newer.
-func (r *Replicator) Adopt(l Listing) { r.replace(l, true) }
-
-func (r *Replicator) replace(l Listing, fromPeer bool) {
+// Replace takes over a listing that was confirmed so long ago, unless the state
+// is newer.
+func (r *Replicator) Replace(l Listing, age time.Duration, fromPeer bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	old := r.state.Load()
-	if old != nil && l.Revision < old.Revision || fromPeer && old != nil && l.Revision == old.Revision {
+	if old != nil && l.Revision < old.Revision {
+		return
+	}
+	r.confirm(r.settings.Clock.Now().Add(-age))
+	if old != nil && l.Revision == old.Revision {
 		return
 	}
 	objects := make(map[string]Object, len(l.Objects))
 	for _, o := range l.Objects {
 		objects[o.Name] = o
 	}
+	r.history, r.since = nil, l.Revision
 	r.publish(&State{Revision: l.Revision, Objects: objects, FromPeer: fromPeer})
 }
 
-// apply takes in the changes since a revision that the state has reached or
-// passed; repeated ones change nothing.
-func (r *Replicator) apply(c Changes) {
+// Apply takes in the changes after a revision that the state has reached;
+// repeated ones change nothing.
+func (r *Replicator) Apply(after int64, c Changes, age time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	old := r.state.Load()
-	if old == nil || c.Revision <= old.Revision {
+	if old == nil || after > max(old.Revision, r.cursor) || c.Revision < old.Revision {
+		return
+	}
+	r.confirm(r.settings.Clock.Now().Add(-age))
+	r.cursor = max(r.cursor, c.Revision)
+	if len(c.Changes) == 0 || c.Revision == old.Revision {
+		// Changes of other kinds raise the store's revision too; keeping that
+		// of the state spares all instances a transfer.
 		return
 	}
 	objects := maps.Clone(old.Objects)
@@ -188,12 +264,43 @@
 		}
 		objects[change.Object.Name] = change.Object
 	}
-	r.publish(&State{Revision: c.Revision, Objects: objects})
+	r.remember(c)
+	r.publish(&State{Revision: c.Revision, Objects: objects, FromPeer: age > 0})
+}
+
+func (r *Replicator) remember(c Changes) {
+	r.history = append(r.history, step{c.Changes, c.Revision})
+	total := 0
+	for i := len(r.history) - 1; i >= 0; i-- {
+		if total += len(r.history[i].changes); total > historyLength {
+			r.since = r.history[i].revision
+			r.history = slices.Clone(r.history[i+1:])
+			return
+		}
+	}
+}
+
+// Since returns the changes after a revision, false if they are not known.
+func (r *Replicator) Since(revision int64) (Changes, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	state := r.state.Load()
+	if state == nil || revision < r.since {
+		return Changes{}, false
+	}
+	c := Changes{Revision: state.Revision}
+	for _, s := range r.history {
+		if s.revision > revision {
+			c.Changes = append(c.Changes, s.changes...)
+		}
+	}
+	return c, true
 }
 
 func (r *Replicator) publish(s *State) {
+	s.Troubled = r.troubled()
 	r.state.Store(s)
 	r.settings.Log.Info("replicator: state taken over", zap.String("Kind", r.settings.Kind),
-		zap.Int64("Revision", s.Revision), zap.Int("Objects", len(s.Objects)), zap.Bool("FromPeer", s.FromPeer))
+		zap.Int64("Revision", s.Revision), zap.Int("Objects", len(s.Objects)), zap.Bool("FromPeer", s.FromPeer), zap.Bool("Troubled", s.Troubled))
 	r.settings.Changed(s)
 }
