Send callers to the strongest instances, tell only changes in gossip

Cause: on the grown sites (1) queries of 90 shards ran on instances of 0.19 cores, about 33 ms of processor time each; (2) gossip of all counters to all took most of 0.179 GB between data centres; (3) 82 instances shared 63 connections a target, one each, over the cap; (4) each instance read all kinds at its start (738 calls). Ruled out: slow targets, the same share of them paused on the base sites.

Change: the address look-up names the strongest instances that hold a quarter of the capacity, which share most of the limits; instances are suspected by failed exchanges and may deny it, exchanges tell changes; new instances read by rank and few register in the store; a target in the same data centre has an advantage of one typical latency.

--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -5,16 +5,16 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
-	"golang.org/x/net/http2"
-	"golang.org/x/net/http2/h2c"
 
 	"jujubegate.example/jujubegate"
 	"jujubegate.example/jujubegate/connector"
@@ -38,6 +38,12 @@
 	// configurationStale is the age from which on the configuration may be old,
 	// so that a route which it lacks may exist.
 	configurationStale = 2500 * time.Millisecond
+	// activePart is the part of the shared limits that the active instances
+	// have; the rest is for those that get few requests.
+	activePart = 0.8
+	// passiveIdle is how long an instance that gets few requests keeps idle
+	// connections, which count against the cap of a target.
+	passiveIdle = 1500 * time.Millisecond
 	// defaultLinesPerSecond bounds the log of one instance.
 	defaultLinesPerSecond = 200
 )
@@ -50,19 +56,20 @@
 	log      *zap.Logger
 	recorder *recorder.Recorder
 
-	table     atomic.Pointer[router.Table]
-	leaving   atomic.Bool
-	tracker   *tracker.Tracker
-	sender    *sender.Sender
-	gossiper  *gossiper.Gossiper
-	receiver  *receiver.Receiver
-	config    *replicator.Replicator
-	targets   *replicator.Replicator
-	out       *replicator.Replicator
-	decoded   map[string]decodedTarget
-	recheck   chan struct{}
-	listed    atomic.Int64
-	transport *http.Transport
+	table      atomic.Pointer[router.Table]
+	leaving    atomic.Bool
+	registered atomic.Bool
+	tracker    *tracker.Tracker
+	sender     *sender.Sender
+	gossiper   *gossiper.Gossiper
+	receiver   *receiver.Receiver
+	config     *replicator.Replicator
+	targets    *replicator.Replicator
+	out        *replicator.Replicator
+	decoded    map[string]decodedTarget
+	recheck    chan struct{}
+	shared     atomic.Uint64
+	transport  *http.Transport
 
 	// cut ends the requests that are left at the end of the grace.
 	cut     context.Context
@@ -85,6 +92,7 @@
 		transport: &http.Transport{MaxIdleConnsPerHost: 2, DisableCompression: true},
 	}
 	c.settings.Store(&settings)
+	c.shared.Store(math.Float64bits(1))
 	c.cut, c.cutNow = context.WithCancel(context.Background())
 	opened := rec.Counter(recorder.ConnectionsOpened)
 	c.tracker = tracker.New(tracker.Settings{
@@ -100,14 +108,14 @@
 	c.gossiper = gossiper.New(gossiper.Settings{
 		Self: gossiper.Peer{
 			Instance: settings.Instance, Incarnation: time.Now().UnixMilli(), DataCentre: settings.DataCentre,
-			PeerAddress: settings.Listen.Peers, CallerAddress: settings.Listen.Callers,
+			PeerAddress: settings.Listen.Peers, CallerAddress: settings.Listen.Callers, Capacity: settings.capacity(),
 		},
 		Fleet: settings.Store.Address, Seeds: settings.Seeds, Clock: clock, Log: log,
 		Replicators: []*replicator.Replicator{c.config, c.targets, c.out},
 		Serving:     c.serving, Changed: c.peersChanged, Client: &http.Client{Transport: c.transport},
 	})
 	c.sender = sender.New(sender.Settings{
-		Tracker: c.tracker, Clock: clock, Seed: rand.Uint64(), Instances: c.instances,
+		Tracker: c.tracker, Clock: clock, Seed: rand.Uint64(), Share: c.share, DataCentre: settings.DataCentre,
 		RepeatRatio: settings.Bounds.RepeatRatio, RepeatAllowance: settings.Bounds.RepeatAllowance,
 	})
 	gather := gatherer.New(gatherer.Settings{Clock: clock, Send: c.sender.Send})
@@ -136,8 +144,35 @@
 	return r
 }
 
-// instances returns the number of instances that share the targets.
-func (c *Conductor) instances() int { return max(c.gossiper.Size(), int(c.listed.Load())) }
+// instances returns the number of instances that live, with this one.
+func (c *Conductor) instances() int { return len(c.gossiper.Peers()) + 1 }
+
+// share returns this instance's part of the limits that all instances share.
+func (c *Conductor) share() float64 { return math.Float64frombits(c.shared.Load()) }
+
+// divide works out the part of the shared limits. Instances that ended a while
+// ago still count, since their requests and connections can outlast them.
+func (c *Conductor) divide() {
+	fleet := c.fleet()
+	active := gossiper.Active(fleet)
+	ended := max(c.gossiper.Size()-len(fleet), 0)
+	isActive := slices.ContainsFunc(active, func(p gossiper.Peer) bool { return p.Instance == c.settings.Load().Instance })
+	var share float64
+	var idle time.Duration
+	switch passive := len(fleet) - len(active); {
+	case len(active) == 0 || passive == 0:
+		share = 1 / float64(len(fleet)+ended)
+	case isActive:
+		share = activePart / float64(len(active)+ended)
+	default:
+		share, idle = (1-activePart)/float64(passive+ended), passiveIdle
+	}
+	c.shared.Store(math.Float64bits(share))
+	c.tracker.SetShare(share, idle)
+}
+
+// fleet returns the instances that live, with this one.
+func (c *Conductor) fleet() []gossiper.Peer { return append(c.gossiper.Peers(), c.gossiper.Self()) }
 
 // serving reports whether new requests are taken.
 func (c *Conductor) serving() bool {
@@ -201,8 +236,8 @@
 }
 
 func (c *Conductor) peersChanged(peers []gossiper.Peer) {
-	c.tracker.SetInstances(c.instances())
-	c.log.Info("conductor: instances changed", zap.Int("Alive", len(peers)+1), zap.Int("Sharing", c.instances()))
+	c.divide()
+	c.log.Info("conductor: instances changed", zap.Int("Alive", len(peers)+1), zap.Float64("Share", c.share()))
 }
 
 // Run serves until the context ends, then leaves within the grace.
@@ -247,7 +282,7 @@
 	mux.Handle(path, peers)
 	list := []served{
 		{name: callersServer, server: c.callerServer()},
-		{name: "Peers", server: &http.Server{Handler: h2c.NewHandler(mux, &http2.Server{}), ReadHeaderTimeout: headerTimeout}},
+		{name: "Peers", server: &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}},
 		{name: "Ready", server: &http.Server{Handler: c.readyHandler(), ReadHeaderTimeout: headerTimeout}},
 		{name: "Lookup", server: &http.Server{Handler: c.lookupHandler(), ReadHeaderTimeout: headerTimeout}},
 	}
--- a/conductor/lifecycle.go
+++ b/conductor/lifecycle.go
@@ -18,8 +18,11 @@
 	finalAnswers = 200 * time.Millisecond
 	// announceTimeout bounds the news to peers that this instance leaves.
 	announceTimeout = 500 * time.Millisecond
-	// registerBackoff is the pause after a failed registration.
-	registerBackoff = time.Second
+	// registerPeriod is the time between two looks whether this instance has to
+	// be in the store, or has to look there for others.
+	registerPeriod = 3 * time.Second
+	// anchors is the number of instances that are in the store at least.
+	anchors = 3
 )
 
 // Reload reads the settings again. Seeds and bounds are taken over; the rest
@@ -36,39 +39,45 @@
 	c.log.Info("conductor: settings reloaded", zap.Strings("NeedRestart", old.unchangeable(&next)))
 }
 
-// register writes the entry of this instance and learns of the others. The
-// store is not needed for serving, so failures are retried in the background.
+// register makes this instance known in the store if it is one of the few that
+// others start from, and learns of others there if it hears from none. Serving
+// needs neither, so failures are logged and tried again.
 func (c *Conductor) register(ctx context.Context) {
-	kind, name := c.adapter.Kinds.Instances, string(c.settings.Load().Instance)
-	value, err := c.adapter.EncodeInstance(c.self())
-	if err != nil {
-		c.log.Error("conductor: entry cannot be encoded", zap.Error(err))
-		return
+	for ctx.Err() == nil {
+		select {
+		case <-c.clock.After(registerPeriod):
+		case <-ctx.Done():
+			return
+		}
+		switch {
+		case len(c.gossiper.Peers()) == 0:
+			c.meet(ctx)
+		case !c.registered.Load() && c.gossiper.Rank(c.adapter.Kinds.Instances) < anchors:
+			c.enter(ctx)
+		}
 	}
-	steps := []func() error{
-		func() error { return c.adapter.Source.Put(ctx, kind, name, value, -1) },
-		func() error { return c.meet(ctx) },
+}
+
+// enter writes the entry of this instance.
+func (c *Conductor) enter(ctx context.Context) {
+	value, err := c.adapter.EncodeInstance(c.gossiper.Self())
+	if err == nil {
+		err = c.adapter.Source.Put(ctx, c.adapter.Kinds.Instances, string(c.settings.Load().Instance), value, -1)
 	}
-	for _, step := range steps {
-		for {
-			err := step()
-			if err == nil || ctx.Err() != nil {
-				break
-			}
-			c.log.Warn("conductor: registration failed", zap.Error(err))
-			select {
-			case <-c.clock.After(registerBackoff):
-			case <-ctx.Done():
-			}
-		}
+	if err != nil {
+		c.log.Warn("conductor: registration failed", zap.Error(err))
+		return
 	}
+	c.registered.Store(true)
+	c.log.Info("conductor: registered in the store")
 }
 
 // meet contacts the instances that the store lists.
-func (c *Conductor) meet(ctx context.Context) error {
+func (c *Conductor) meet(ctx context.Context) {
 	l, err := c.adapter.Source.List(ctx, c.adapter.Kinds.Instances)
 	if err != nil {
-		return err
+		c.log.Warn("conductor: instances cannot be listed", zap.Error(err))
+		return
 	}
 	for _, o := range l.Objects {
 		p, err := c.adapter.Instance(o)
@@ -78,9 +87,6 @@
 		}
 		c.gossiper.Contact(p.PeerAddress)
 	}
-	c.listed.Store(int64(len(l.Objects)))
-	c.tracker.SetInstances(c.instances())
-	return nil
 }
 
 // leave tells peers and callers, goes on serving for a while, and ends after
@@ -92,7 +98,9 @@
 	ctx, cancel := context.WithTimeout(context.Background(), announceTimeout)
 	c.gossiper.Announce(ctx)
 	cancel()
-	go c.unregister()
+	if c.registered.Load() {
+		go c.unregister()
+	}
 	c.clock.Sleep(max(leaveListen-c.clock.Since(start), 0))
 	var group sync.WaitGroup
 	for _, s := range servers {
--- a/conductor/serve.go
+++ b/conductor/serve.go
@@ -62,20 +62,13 @@
 	return min(lookupValidFor, time.Duration(c.settings.Load().Bounds.LookupSeconds*float64(time.Second)))
 }
 
-// addresses returns those of the instances that serve, in random order.
+// addresses returns those of the instances that callers use, in random order.
 func (c *Conductor) addresses() []string {
-	var addresses []string
-	if c.serving() {
-		addresses = append(addresses, c.settings.Load().Listen.Callers)
-	}
-	for _, p := range c.gossiper.Peers() {
-		if p.Serving {
-			addresses = append(addresses, p.CallerAddress)
-		}
+	active := gossiper.Active(c.fleet())
+	addresses := make([]string, len(active))
+	for i, p := range active {
+		addresses[i] = p.CallerAddress
 	}
 	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
 	return addresses
 }
-
-// self returns this instance as its entry in the store names it.
-func (c *Conductor) self() gossiper.Peer { return c.gossiper.Self() }
--- a/conductor/settings.go
+++ b/conductor/settings.go
@@ -17,6 +17,9 @@
 type Settings struct {
 	Instance   jujubegate.Instance
 	DataCentre jujubegate.DataCentre
+	// Cores is the number of cores of which the instance may use CoreShare each.
+	Cores     int
+	CoreShare float64
 	// Listen holds the host:port of what the instance serves.
 	Listen Listen
 	// Seeds are peer addresses of other instances; they may be stale.
@@ -153,12 +156,18 @@
 			add("%s must be greater than 0", field.name)
 		}
 	}
+	if s.Cores <= 0 || s.CoreShare <= 0 {
+		add("Cores and CoreShare must be greater than 0")
+	}
 	if s.Log.LinesPerSecond <= 0 {
 		add("Log.LinesPerSecond must be greater than 0")
 	}
 	return fs
 }
 
+// capacity returns the processor time in thousandths of a core.
+func (s *Settings) capacity() int64 { return max(int64(1000*s.CoreShare*float64(s.Cores)), 1) }
+
 func (b Bounds) grace() time.Duration { return time.Duration(b.GraceSeconds * float64(time.Second)) }
 
 func (b Bounds) drain() time.Duration { return time.Duration(b.DrainMillis) * time.Millisecond }
--- a/connector/pool.go
+++ b/connector/pool.go
@@ -140,6 +140,20 @@
 	return p.open
 }
 
+// Trim closes connections that have been idle for longer.
+func (p *Pool) Trim(idle time.Duration) {
+	now := p.settings.Clock.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.idle = slices.DeleteFunc(p.idle, func(c *connection) bool {
+		old := now.Sub(c.idleSince) > idle
+		if old {
+			c.conn.Close()
+		}
+		return old
+	})
+}
+
 // Close closes idle connections now and busy ones after their request.
 func (p *Pool) Close() {
 	p.mu.Lock()
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -7,8 +7,6 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
-	"slices"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -25,24 +23,17 @@
 const (
 	// Period is the time between two rounds of exchanges.
 	Period = 500 * time.Millisecond
-	// fanOut is the number of peers that one round asks in a large fleet; with
-	// it news reaches 1,200 instances in about six rounds.
-	fanOut = 3
+	// fanOut is the number of peers that one round asks in a large fleet.
+	fanOut = 2
 	// DirectPeers is the number of peers up to which a round asks all of them.
 	DirectPeers = 16
-	// tellKnownEvery is the number of rounds of which one tells the other
-	// instances too, where all instances ask each other directly.
-	tellKnownEvery = 4
 	// exchangeTimeout bounds one exchange.
 	exchangeTimeout = 400 * time.Millisecond
 	// fetchTimeout bounds the transfer of one kind.
 	fetchTimeout = 2 * time.Second
-	// aliveFor is how long an instance counts as alive after its last news.
-	aliveFor = 3 * time.Second
-	// forgetAfter is how long a silent instance is still asked now and then.
-	forgetAfter = time.Minute
-	// maxKnown bounds the instances told in one exchange, the newest first.
-	maxKnown = 64
+	// wholeEvery is the number of rounds of which one tells all instances and
+	// not just what changed, in case news was lost.
+	wholeEvery = 32
 )
 
 // Settings are the dependencies of a Gossiper.
@@ -63,31 +54,17 @@
 	Client connect.HTTPClient
 }
 
-// Peer is one instance. It is immutable.
-type Peer struct {
-	Instance      jujubegate.Instance
-	Incarnation   int64
-	DataCentre    jujubegate.DataCentre
-	PeerAddress   string
-	CallerAddress string
-	Serving       bool
-}
-
-type record struct {
-	peering *wire.Peering
-	heardAt time.Time
-	alive   bool
-}
-
 // Gossiper keeps the instances. It is safe for concurrent use.
 type Gossiper struct {
 	settings Settings
-	beat     atomic.Int64
+	round    atomic.Int64
 	// incarnation is raised above one that peers know from an earlier start.
 	incarnation atomic.Int64
+	beat        atomic.Int64
+	serving     atomic.Bool
 
 	mu      sync.Mutex
-	records map[string]*record
+	members members
 	// contacts are peer addresses that were never heard from.
 	contacts map[string]struct{}
 	fetching map[string]bool
@@ -99,9 +76,9 @@
 // New returns a gossiper that knows itself and the seeds.
 func New(settings Settings) *Gossiper {
 	g := &Gossiper{
-		settings: settings, records: make(map[string]*record), contacts: make(map[string]struct{}),
-		fetching: make(map[string]bool), failing: make(map[string]jujubegate.Set[string]),
-		kick: make(chan struct{}, 1),
+		settings: settings, members: members{log: settings.Log, records: make(map[string]*record)},
+		contacts: make(map[string]struct{}), fetching: make(map[string]bool),
+		failing: make(map[string]jujubegate.Set[string]), kick: make(chan struct{}, 1),
 	}
 	g.incarnation.Store(settings.Self.Incarnation)
 	g.Contact(settings.Seeds...)
@@ -117,7 +94,7 @@
 func (g *Gossiper) Size() int {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return len(g.records) + 1
+	return len(g.members.records) + 1
 }
 
 // Contact adds peer addresses to ask.
@@ -137,10 +114,10 @@
 // Run exchanges news until the context ends.
 func (g *Gossiper) Run(ctx context.Context) {
 	for ctx.Err() == nil {
-		g.beat.Add(1)
-		g.review()
+		round := g.round.Add(1)
+		g.update(func(m *members, now time.Time) bool { return m.review(now) })
 		for _, address := range g.partners() {
-			go g.exchange(ctx, address)
+			go g.exchange(ctx, address, round%wholeEvery == 0)
 		}
 		select {
 		case <-g.settings.Clock.After(Period):
@@ -150,6 +127,17 @@
 	}
 }
 
+// update changes the members, and tells of it if it made a difference.
+func (g *Gossiper) update(change func(*members, time.Time) bool) {
+	g.mu.Lock()
+	changed := change(&g.members, g.settings.Clock.Now())
+	peers := g.members.alive()
+	g.mu.Unlock()
+	if changed {
+		g.settings.Changed(peers)
+	}
+}
+
 // Kick starts the next round at once, since there is news.
 func (g *Gossiper) Kick() {
 	select {
@@ -158,12 +146,11 @@
 	}
 }
 
-// Announce tells all live peers the state of this instance at once.
+// Announce tells live peers the state of this instance at once.
 func (g *Gossiper) Announce(ctx context.Context) {
-	g.beat.Add(1)
 	var group sync.WaitGroup
-	for _, p := range g.Peers() {
-		group.Go(func() { g.exchange(ctx, p.PeerAddress) })
+	for _, address := range g.partners() {
+		group.Go(func() { g.exchange(ctx, address, false) })
 	}
 	group.Wait()
 }
@@ -172,30 +159,11 @@
 func (g *Gossiper) Peers() []Peer {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.alive()
-}
-
-func (g *Gossiper) alive() []Peer {
-	var peers []Peer
-	for _, r := range g.records {
-		if r.alive {
-			peers = append(peers, peerOf(r.peering))
-		}
-	}
-	slices.SortFunc(peers, func(a, b Peer) int { return strings.Compare(string(a.Instance), string(b.Instance)) })
-	return peers
-}
-
-func peerOf(p *wire.Peering) Peer {
-	return Peer{
-		Instance: jujubegate.Instance(p.Instance), Incarnation: p.Incarnation,
-		DataCentre: jujubegate.DataCentre(p.DataCentre), PeerAddress: p.PeerAddress,
-		CallerAddress: p.CallerAddress, Serving: p.Serving,
-	}
+	return g.members.alive()
 }
 
 // partners returns the peers of the next round: some that live, and one that
-// was silent or never heard from.
+// is suspected, gone or was never heard from.
 func (g *Gossiper) partners() []string {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -203,17 +171,17 @@
 	for a := range g.contacts {
 		other = append(other, a)
 	}
-	for _, r := range g.records {
-		if r.alive {
-			live = append(live, r.peering.PeerAddress)
-		} else {
+	for _, r := range g.members.records {
+		if r.suspected() || r.dead() {
 			other = append(other, r.peering.PeerAddress)
+		} else {
+			live = append(live, r.peering.PeerAddress)
 		}
 	}
 	rand.Shuffle(len(live), func(i, j int) { live[i], live[j] = live[j], live[i] })
 	rand.Shuffle(len(other), func(i, j int) { other[i], other[j] = other[j], other[i] })
 	if len(live) == 0 {
-		return other[:min(len(other), fanOut)]
+		return other[:min(len(other), DirectPeers)]
 	}
 	asked := fanOut
 	if len(live) <= DirectPeers {
@@ -222,56 +190,23 @@
 	return append(live[:min(len(live), asked)], other[:min(len(other), 1)]...)
 }
 
-// review marks instances without news as dead and forgets old ones.
-func (g *Gossiper) review() {
-	now := g.settings.Clock.Now()
-	g.mu.Lock()
-	changed := false
-	for name, r := range g.records {
-		age := now.Sub(r.heardAt)
-		if r.alive && age > aliveFor {
-			r.alive, changed = false, true
-			g.settings.Log.Warn("gossiper: instance is silent", zap.String("Instance", name), zap.Duration("For", age))
-		}
-		if age > forgetAfter {
-			delete(g.records, name)
-		}
-	}
-	peers := g.alive()
-	g.mu.Unlock()
-	if changed {
-		g.settings.Changed(peers)
-	}
-}
-
+// self returns this instance as exchanges tell it.
 func (g *Gossiper) self() *wire.Peering {
+	if serving := g.settings.Serving(); g.serving.Swap(serving) != serving {
+		g.beat.Add(1)
+	}
 	s := g.settings.Self
 	return &wire.Peering{
 		Instance: string(s.Instance), Incarnation: g.incarnation.Load(), DataCentre: string(s.DataCentre),
-		PeerAddress: s.PeerAddress, CallerAddress: s.CallerAddress,
-		Beat: g.beat.Load(), Serving: g.settings.Serving(),
+		PeerAddress: s.PeerAddress, CallerAddress: s.CallerAddress, Capacity: s.Capacity,
+		Beat: g.beat.Load(), Serving: g.serving.Load(),
 	}
 }
 
-// known returns the newest of what is known of other instances.
-func (g *Gossiper) known() []*wire.Peering {
+func (g *Gossiper) news(whole bool) []*wire.Peering {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if len(g.records) <= DirectPeers && len(g.contacts) == 0 && g.beat.Load()%tellKnownEvery != 0 {
-		return nil
-	}
-	records := make([]*record, 0, len(g.records))
-	for _, r := range g.records {
-		if r.alive {
-			records = append(records, r)
-		}
-	}
-	slices.SortFunc(records, func(a, b *record) int { return b.heardAt.Compare(a.heardAt) })
-	known := make([]*wire.Peering, 0, min(len(records), maxKnown))
-	for _, r := range records[:min(len(records), maxKnown)] {
-		known = append(known, r.peering)
-	}
-	return known
+	return g.members.news(g.settings.Clock.Now(), whole)
 }
 
 func (g *Gossiper) holdings() []*wire.Holding {
@@ -288,21 +223,22 @@
 	return wireconnect.NewGossipClient(g.settings.Client, "http://"+address)
 }
 
-func (g *Gossiper) exchange(ctx context.Context, address string) {
+func (g *Gossiper) exchange(ctx context.Context, address string, whole bool) {
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
 	answer, err := g.client(address).Exchange(ctx, connect.NewRequest(&wire.ExchangeRequest{
-		Fleet: g.settings.Fleet, Receiver: address, Sender: g.self(), Known: g.known(), Holdings: g.holdings(),
+		Fleet: g.settings.Fleet, Receiver: address, Sender: g.self(), Known: g.news(whole), Holdings: g.holdings(), Whole: whole,
 	}))
 	if err != nil {
 		g.settings.Log.Debug("gossiper: exchange failed", zap.String("Address", address), zap.Error(err))
+		g.update(func(m *members, now time.Time) bool { return m.fail(address, now) })
 		return
 	}
 	if from := answer.Msg.Sender.GetPeerAddress(); from != address {
 		g.settings.Log.Warn("gossiper: another instance answered", zap.String("Address", address), zap.String("From", from))
 		return
 	}
-	g.learn(append(answer.Msg.Known, answer.Msg.Sender)...)
+	g.take(answer.Msg.Sender, answer.Msg.Known)
 	g.compare(address, answer.Msg.Holdings)
 }
 
@@ -313,9 +249,49 @@
 		return nil, connect.NewError(connect.CodeInvalidArgument,
 			fmt.Errorf("message for fleet %q and receiver %q does not belong here", m.Fleet, m.Receiver))
 	}
-	g.learn(append(m.Known, m.Sender)...)
+	stranger := g.take(m.Sender, m.Known)
 	g.compare(m.Sender.PeerAddress, m.Holdings)
-	return connect.NewResponse(&wire.ExchangeResponse{Sender: g.self(), Known: g.known(), Holdings: g.holdings()}), nil
+	return connect.NewResponse(&wire.ExchangeResponse{Sender: g.self(), Known: g.news(m.Whole || stranger), Holdings: g.holdings()}), nil
+}
+
+// take takes in one side of an exchange. It reports whether the sender was not
+// known to live.
+func (g *Gossiper) take(sender *wire.Peering, known []*wire.Peering) bool {
+	stranger := false
+	g.update(func(m *members, now time.Time) bool {
+		changed := false
+		for _, p := range known {
+			if p == nil || p.Instance == "" || p.PeerAddress == "" || p.Instance == sender.Instance {
+				continue
+			}
+			if p.Instance == string(g.settings.Self.Instance) {
+				g.deny(p)
+				continue
+			}
+			delete(g.contacts, p.PeerAddress)
+			changed = m.learn(p, now) || changed
+		}
+		if sender.Instance == "" || sender.Instance == string(g.settings.Self.Instance) {
+			return changed
+		}
+		delete(g.contacts, sender.PeerAddress)
+		stranger = m.hear(sender, now)
+		return stranger || changed
+	})
+	return stranger
+}
+
+// deny raises the beat if this instance is suspected, and the incarnation above
+// one of an earlier start, which can be higher if the time of day went back.
+func (g *Gossiper) deny(p *wire.Peering) {
+	own := g.incarnation.Load()
+	switch {
+	case p.Incarnation > own:
+		g.incarnation.CompareAndSwap(own, p.Incarnation+1)
+	case p.Incarnation == own && p.Suspected && p.Beat >= g.beat.Load():
+		g.beat.Store(p.Beat + 1)
+		g.settings.Log.Info("gossiper: denied to be gone", zap.Int64("Beat", g.beat.Load()))
+	}
 }
 
 // Fetch returns the objects of a kind, or the changes since a revision.
@@ -356,54 +332,6 @@
 	return nil
 }
 
-// learn takes in news of instances.
-func (g *Gossiper) learn(news ...*wire.Peering) {
-	now := g.settings.Clock.Now()
-	g.mu.Lock()
-	changed := false
-	for _, p := range news {
-		if p == nil || p.Instance == "" {
-			continue
-		}
-		if p.Instance == string(g.settings.Self.Instance) {
-			g.outlive(p)
-			continue
-		}
-		old := g.records[p.Instance]
-		if old != nil && !newer(p, old.peering) {
-			continue
-		}
-		delete(g.contacts, p.PeerAddress)
-		if old == nil || !old.alive || old.peering.Serving != p.Serving || old.peering.Incarnation != p.Incarnation {
-			changed = true
-			g.settings.Log.Info("gossiper: instance heard", zap.String("Instance", p.Instance),
-				zap.String("Address", p.PeerAddress), zap.Int64("Incarnation", p.Incarnation), zap.Bool("Serving", p.Serving))
-		}
-		g.records[p.Instance] = &record{peering: p, heardAt: now, alive: true}
-	}
-	peers := g.alive()
-	g.mu.Unlock()
-	if changed {
-		g.settings.Changed(peers)
-	}
-}
-
-// outlive raises the incarnation above one of an earlier start, which can be
-// higher if the time of day went back.
-func (g *Gossiper) outlive(p *wire.Peering) {
-	own := g.incarnation.Load()
-	if p.Incarnation > own {
-		g.incarnation.CompareAndSwap(own, p.Incarnation+1)
-	}
-}
-
-func newer(p, old *wire.Peering) bool {
-	if p.Incarnation != old.Incarnation {
-		return p.Incarnation > old.Incarnation
-	}
-	return p.Beat > old.Beat
-}
-
 // compare takes over the confirmations of a peer, and fetches the kinds of which
 // it holds a newer revision.
 func (g *Gossiper) compare(address string, holdings []*wire.Holding) {
--- a/gossiper/turn.go
+++ b/gossiper/turn.go
@@ -17,7 +17,10 @@
 	// all read at once when the first one fails.
 	takeOverStep = 250 * time.Millisecond
 	// firstRead is how long a new instance waits for what peers hold.
-	firstRead = 300 * time.Millisecond
+	firstRead = 50 * time.Millisecond
+	// firstReadStep separates new instances by rank, so that in a fleet that
+	// starts as a whole a few read and the others hear from them.
+	firstReadStep = 60 * time.Millisecond
 )
 
 // Turn returns the age of the newest confirmation of a kind from which on this
@@ -26,10 +29,7 @@
 func (g *Gossiper) Turn(r *replicator.Replicator) time.Duration {
 	rank, others := g.rank(r.Kind())
 	if r.State() == nil {
-		if others == 0 {
-			return 0
-		}
-		return firstRead
+		return firstRead + time.Duration(rank)*firstReadStep
 	}
 	if rank == 0 {
 		return 0
@@ -46,14 +46,21 @@
 	return time.Duration(rounds) * Period
 }
 
+// Rank returns this instance's place among those that live, in an order of its
+// own for each kind.
+func (g *Gossiper) Rank(kind string) int {
+	rank, _ := g.rank(kind)
+	return rank
+}
+
 // rank returns this instance's place among those that live and reach the store,
 // in an order of its own for each kind, and the number of the others that live.
 func (g *Gossiper) rank(kind string) (rank, others int) {
 	own := weight(kind, string(g.settings.Self.Instance))
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	for name, r := range g.records {
-		if !r.alive {
+	for name, r := range g.members.records {
+		if r.suspected() || r.dead() {
 			continue
 		}
 		others++
--- a/sender/sender.go
+++ b/sender/sender.go
@@ -27,6 +27,10 @@
 	// retryReserve is the number of saved repeats that hedges leave to retries,
 	// without which a request fails.
 	retryReserve = 1
+	// distanceWeight is the advantage of a target in the same data centre, in
+	// typical latencies of the route: bytes between data centres are paid, but
+	// a queue of one request outweighs them.
+	distanceWeight = 1.0
 	// minSilence is the least time without an answer after which a target
 	// counts as paused.
 	minSilence = 15 * time.Millisecond
@@ -41,8 +45,10 @@
 	// RepeatRatio and RepeatAllowance bound the repeats of each service over
 	// all instances: a share of its requests and a number, in any window.
 	RepeatRatio, RepeatAllowance float64
-	// Instances returns the number of instances that share the budget.
-	Instances func() int
+	// Share returns this instance's part of the budget.
+	Share func() float64
+	// DataCentre is that of this instance; targets in it are preferred.
+	DataCentre jujubegate.DataCentre
 	// Observe receives each try that ended; nil ignores it.
 	Observe func(Try)
 	Seed    uint64
@@ -70,7 +76,7 @@
 
 // allowance returns the budget of repeats of a service.
 func (s *Sender) allowance(service jujubegate.Service) *hedger.Allowance {
-	most := budgetShare * s.settings.RepeatAllowance / float64(max(s.settings.Instances(), 1))
+	most := budgetShare * s.settings.RepeatAllowance * s.settings.Share()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	a, ok := s.allowances[service]
@@ -214,11 +220,16 @@
 	options := make([]balancer.Option, 0, len(replicas))
 	var skip, paused uint64
 	silence := r.silence()
+	distant := time.Duration(distanceWeight * float64(r.latency.Typical()))
 	for i, replica := range replicas {
 		if i >= balancer.MaxOptions {
 			break
 		}
-		options = append(options, replica.Option())
+		option := replica.Option()
+		if replica.Entry().DataCentre != r.sender.settings.DataCentre {
+			option.Distance = distant
+		}
+		options = append(options, option)
 		if r.wasTried(replica) {
 			skip |= 1 << i
 		} else if replica.Silent(now) > silence || !replica.Pool.Free() {
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -43,8 +43,10 @@
 	replicas map[string]*Replica
 	table    *router.Table
 	out      jujubegate.Set[jujubegate.DataCentre]
-	// instances is the number of instances that share the targets.
-	instances int
+	// share is this instance's part of the limits that all instances share.
+	share float64
+	// idle is how long connections are kept idle; 0 means as long as targets do.
+	idle time.Duration
 }
 
 // view is what requests are chosen from. It is immutable.
@@ -54,7 +56,7 @@
 
 // New returns a tracker without targets.
 func New(settings Settings) *Tracker {
-	t := &Tracker{settings: settings, replicas: make(map[string]*Replica), instances: 1}
+	t := &Tracker{settings: settings, replicas: make(map[string]*Replica), share: 1}
 	t.current.Store(&view{})
 	return t
 }
@@ -90,12 +92,14 @@
 	t.publish()
 }
 
-// SetInstances replaces the number of instances that share the targets.
-func (t *Tracker) SetInstances(n int) {
+// SetShare replaces this instance's part of the limits that all instances
+// share, and how long it keeps idle connections.
+func (t *Tracker) SetShare(share float64, idle time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if n = max(n, 1); n != t.instances {
-		t.instances = n
+	t.idle = idle
+	if share != t.share {
+		t.share = share
 		t.bound()
 	}
 }
@@ -143,6 +147,9 @@
 	defer t.mu.Unlock()
 	removed := false
 	for id, r := range t.replicas {
+		if t.idle > 0 {
+			r.Pool.Trim(t.idle)
+		}
 		if !r.lapsedAt.IsZero() && now.Sub(r.lapsedAt) >= t.settings.Hold {
 			t.remove(id, r, "no longer listed")
 			removed = true
@@ -198,7 +205,7 @@
 			perSecond = s.ColdRate
 		}
 	}
-	r.setCold(now.Add(e.ColdFor), perSecond/float64(t.instances))
+	r.setCold(now.Add(e.ColdFor), perSecond*t.share)
 }
 
 func (t *Tracker) remove(id string, r *Replica, why string) {
@@ -217,7 +224,7 @@
 	if !ok || s.Connections <= 0 {
 		return 1
 	}
-	return max(int(connectionShare*float64(s.Connections))/t.instances, 1)
+	return max(int(connectionShare*t.share*float64(s.Connections)), 1)
 }
 
 func (t *Tracker) bound() {
