--- /dev/null
+++ b/replicator/replicator_test.go
@@ -0,0 +1,156 @@
+package replicator
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"slices"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"go.uber.org/zap"
+	"pgregory.net/rapid"
+)
+
+func newReplicator(source Source, turn time.Duration) *Replicator {
+	return New(Settings{
+		Kind: "k", Source: source, Clock: clockwork.NewRealClock(), Log: zap.NewNop(),
+		Turn: func() time.Duration { return turn }, Changed: func(*State) {},
+	})
+}
+
+func TestSinceMatchesTheState(t *testing.T) {
+	// Guards against an instance that follows changes of a peer and ends up with
+	// other objects, whichever of them it has heard before or hears twice.
+	rapid.Check(t, func(t *rapid.T) {
+		leader, follower := newReplicator(Source{}, 0), newReplicator(Source{}, 0)
+		leader.Replace(Listing{Revision: 1}, 0, false)
+		revision := int64(1)
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			after := leader.Revision()
+			c := Changes{}
+			for range rapid.IntRange(0, 60).Draw(t, "changes") {
+				revision++
+				c.Changes = append(c.Changes, Change{
+					Object:  Object{Name: fmt.Sprint(rapid.IntRange(0, 9).Draw(t, "name")), Revision: revision},
+					Removed: rapid.Bool().Draw(t, "removed"),
+				})
+			}
+			c.Revision = revision
+			leader.Apply(after, c, 0)
+			if rapid.Bool().Draw(t, "hears") {
+				at := follower.Revision()
+				if c, ok := leader.Since(at); ok && at > 0 {
+					follower.Apply(at, c, 0)
+					follower.Apply(at, c, 0)
+				} else {
+					s := leader.State()
+					follower.Replace(Listing{Revision: s.Revision, Objects: slices.Collect(maps.Values(s.Objects))}, 0, true)
+				}
+				if follower.Revision() != leader.Revision() {
+					t.Fatalf("follower at %d, leader at %d", follower.Revision(), leader.Revision())
+				}
+				if f, l := follower.State().Objects, leader.State().Objects; !maps.EqualFunc(f, l, func(a, b Object) bool { return a.Name == b.Name && a.Revision == b.Revision }) {
+					t.Fatalf("follower has %v, leader %v", f, l)
+				}
+			}
+		}
+	})
+}
+
+func TestNeverOlder(t *testing.T) {
+	// Guards against a state that goes back to an older revision.
+	r := newReplicator(Source{}, 0)
+	r.Replace(Listing{Revision: 10, Objects: []Object{{Name: "a", Revision: 10}}}, 0, false)
+	r.Replace(Listing{Revision: 9}, 0, true)
+	r.Apply(8, Changes{Revision: 9, Changes: []Change{{Object: Object{Name: "a"}, Removed: true}}}, 0)
+	r.Apply(11, Changes{Revision: 12, Changes: []Change{{Object: Object{Name: "b", Revision: 12}}}}, 0)
+	if r.Revision() != 10 || len(r.State().Objects) != 1 {
+		t.Errorf("revision %d with %d objects, want 10 with 1: changes after 11 miss what came between", r.Revision(), len(r.State().Objects))
+	}
+}
+
+func TestTurns(t *testing.T) {
+	// Guards against paid calls of an instance whose turn it is not, and against
+	// an instance that does not take over when confirmations stop.
+	synctest.Test(t, func(t *testing.T) {
+		var calls atomic.Int64
+		r := newReplicator(Source{
+			List: func(context.Context, string) (Listing, error) { calls.Add(1); return Listing{Revision: 5}, nil },
+			Watch: func(ctx context.Context, _ string, after int64, wait time.Duration) (Changes, error) {
+				calls.Add(1)
+				time.Sleep(wait)
+				return Changes{Revision: after}, nil
+			},
+		}, 2*time.Second)
+		ctx, stop := context.WithCancel(t.Context())
+		r.Replace(Listing{Revision: 5}, 0, true)
+		done := make(chan struct{})
+		go func() {
+			r.Run(ctx)
+			close(done)
+		}()
+		for range 20 {
+			time.Sleep(500 * time.Millisecond)
+			r.Confirm(5, 100*time.Millisecond)
+		}
+		if n := calls.Load(); n != 0 {
+			t.Errorf("%d calls while a peer confirms, want none", n)
+		}
+		time.Sleep(2500 * time.Millisecond)
+		if calls.Load() == 0 {
+			t.Error("no call after 2.5 s without a confirmation")
+		}
+		stop()
+		<-done
+	})
+}
+
+func TestStoreTrouble(t *testing.T) {
+	// Guards against entries that lapsed while the store was away being taken as
+	// gone at once.
+	synctest.Test(t, func(t *testing.T) {
+		var down atomic.Bool
+		states := make(chan *State, 10)
+		var revision atomic.Int64
+		revision.Store(5)
+		r := newReplicator(Source{
+			List: func(context.Context, string) (Listing, error) { return Listing{Revision: 5}, nil },
+			Watch: func(_ context.Context, _ string, after int64, wait time.Duration) (Changes, error) {
+				time.Sleep(wait)
+				if down.Load() {
+					return Changes{}, ErrUnavailable
+				}
+				if now := revision.Load(); now > after {
+					return Changes{Revision: now, Changes: []Change{{Object: Object{Name: "a", Revision: now}}}}, nil
+				}
+				return Changes{Revision: after}, nil
+			},
+		}, 0)
+		r.settings.Changed = func(s *State) { states <- s }
+		ctx, stop := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() {
+			r.Run(ctx)
+			close(done)
+		}()
+		<-states
+		time.Sleep(5 * time.Second)
+		revision.Store(6)
+		if s := <-states; s.Troubled {
+			t.Error("a change of a store that works counts as trouble")
+		}
+		down.Store(true)
+		time.Sleep(4 * time.Second)
+		revision.Store(7)
+		down.Store(false)
+		if s := <-states; !s.Troubled {
+			t.Error("a change right after 4 s without the store does not count as trouble")
+		}
+		stop()
+		<-done
+	})
+}
