--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -110,7 +110,7 @@
 			Instance: settings.Instance, Incarnation: time.Now().UnixMilli(), DataCentre: settings.DataCentre,
 			PeerAddress: settings.Listen.Peers, CallerAddress: settings.Listen.Callers, Capacity: settings.capacity(),
 		},
-		Fleet: settings.Store.Address, Seeds: settings.Seeds, Clock: clock, Log: log,
+		Fleet: settings.fleet(), Seeds: settings.Seeds, Clock: clock, Log: log,
 		Replicators: []*replicator.Replicator{c.config, c.targets, c.out},
 		Serving:     c.serving, Changed: c.peersChanged, Client: &http.Client{Transport: c.transport},
 	})
--- a/conductor/settings.go
+++ b/conductor/settings.go
@@ -17,6 +17,9 @@
 type Settings struct {
 	Instance   jujubegate.Instance
 	DataCentre jujubegate.DataCentre
+	// Fleet keeps the instances of different deployments apart; empty means the
+	// address of the store.
+	Fleet string
 	// Cores is the number of cores of which the instance may use CoreShare each.
 	Cores     int
 	CoreShare float64
@@ -165,6 +168,14 @@
 	return fs
 }
 
+// fleet returns the name that keeps deployments apart.
+func (s *Settings) fleet() string {
+	if s.Fleet != "" {
+		return s.Fleet
+	}
+	return s.Store.Address
+}
+
 // capacity returns the processor time in thousandths of a core.
 func (s *Settings) capacity() int64 { return max(int64(1000*s.CoreShare*float64(s.Cores)), 1) }
 
--- a/tracker/replica.go
+++ b/tracker/replica.go
@@ -123,20 +123,26 @@
 	return o
 }
 
-// setCold starts the limit of a cold target.
-func (r *Replica) setCold(until time.Time, perSecond float64) {
+// setCold starts the limit of a cold target: a rate, and a number of requests
+// at once. The first request waits for its turn, so that many instances with
+// small shares do not send at the same moment.
+func (r *Replica) setCold(until time.Time, limit rate.Limit, burst int, now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.coldUntil = until
-	if perSecond <= 0 {
+	if limit <= 0 {
 		r.cold = nil
 		return
 	}
 	if r.cold == nil {
-		r.cold = rate.NewLimiter(rate.Limit(perSecond), 1)
+		r.cold = rate.NewLimiter(limit, burst)
+		if burst == 1 {
+			r.cold.AllowN(now, 1)
+		}
 		return
 	}
-	r.cold.SetLimit(rate.Limit(perSecond))
+	r.cold.SetLimitAt(now, limit)
+	r.cold.SetBurstAt(now, burst)
 }
 
 // Admit reports whether the target may get one more request now, which then
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"go.uber.org/zap"
+	"golang.org/x/time/rate"
 
 	"jujubegate.example/jujubegate"
 	"jujubegate.example/jujubegate/balancer"
@@ -205,7 +206,8 @@
 			perSecond = s.ColdRate
 		}
 	}
-	r.setCold(now.Add(e.ColdFor), perSecond*t.share)
+	spare := perSecond*(t.settings.ColdFactor-1) + t.settings.ColdAllowance
+	r.setCold(now.Add(e.ColdFor), rate.Limit(perSecond*t.share), max(int(spare*t.share), 1), now)
 }
 
 func (t *Tracker) remove(id string, r *Replica, why string) {
--- /dev/null
+++ b/tracker/tracker_test.go
@@ -0,0 +1,111 @@
+package tracker
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	. "github.com/smartystreets/goconvey/convey"
+	"go.uber.org/zap"
+
+	"jujubegate.example/jujubegate"
+	"jujubegate.example/jujubegate/connector"
+	"jujubegate.example/jujubegate/router"
+)
+
+func newTracker(clock jujubegate.Clock) *Tracker {
+	t := New(Settings{
+		Clock: clock, Log: zap.NewNop(), Hold: 1500 * time.Millisecond, ColdFactor: 1.5, ColdAllowance: 5,
+		NewPool: func(e Entry, bound int) *connector.Pool {
+			return connector.New(connector.Settings{Target: e.Address, TargetID: e.ID, Names: &connector.Names{}, Clock: clock}, bound)
+		},
+	})
+	t.SetTable(router.New(1, nil, []router.Service{{Name: "s", Connections: 26, ColdRate: 20}}, router.Limits{}, nil))
+	return t
+}
+
+func entry(n int) Entry {
+	return Entry{ID: fmt.Sprint(n), Address: "127.0.0.1:1", Service: "s", DataCentre: jujubegate.DataCentre(fmt.Sprint("dc-", n%2)), Slots: 2, Started: 5}
+}
+
+func TestReplicas(t *testing.T) {
+	// Guards against requests to targets that leave, are out of service, gone or
+	// somebody else, and against giving up targets whose entries only lapsed.
+	drained, old, restarted := entry(1), entry(1), entry(1)
+	drained.Draining = true
+	old.Started, old.Draining = 4, true
+	restarted.Started = 6
+	cases := []struct {
+		name  string
+		steps func(*Tracker, *clockwork.FakeClock)
+		want  int
+	}{
+		{"listed", func(*Tracker, *clockwork.FakeClock) {}, 2},
+		{"draining", func(t *Tracker, _ *clockwork.FakeClock) { t.Update([]Entry{entry(0), drained}, false) }, 1},
+		{"late report of an earlier start", func(t *Tracker, _ *clockwork.FakeClock) { t.Update([]Entry{entry(0), old}, false) }, 2},
+		{"restarted", func(t *Tracker, _ *clockwork.FakeClock) { t.Update([]Entry{entry(0), restarted}, false) }, 2},
+		{"data centre out", func(t *Tracker, _ *clockwork.FakeClock) {
+			t.SetOut(jujubegate.NewSet[jujubegate.DataCentre]("dc-0"))
+		}, 1},
+		{"data centre back", func(t *Tracker, _ *clockwork.FakeClock) {
+			t.SetOut(jujubegate.NewSet[jujubegate.DataCentre]("dc-0"))
+			t.SetOut(jujubegate.NewSet[jujubegate.DataCentre]())
+		}, 2},
+		{"misdirected", func(t *Tracker, _ *clockwork.FakeClock) { t.Misdirected(t.Replicas("s")[0]) }, 1},
+		{"gone, another one listed", func(t *Tracker, _ *clockwork.FakeClock) { t.Update([]Entry{entry(0)}, false) }, 1},
+		{"all gone, just now", func(t *Tracker, _ *clockwork.FakeClock) { t.Update(nil, false) }, 2},
+		{"all gone, a while ago", func(t *Tracker, c *clockwork.FakeClock) {
+			t.Update(nil, false)
+			c.Advance(2 * time.Second)
+			t.sweep()
+		}, 0},
+		{"one lapsed with the store", func(t *Tracker, _ *clockwork.FakeClock) { t.Update([]Entry{entry(0)}, true) }, 2},
+		{"one lapsed and came back", func(t *Tracker, c *clockwork.FakeClock) {
+			t.Update([]Entry{entry(0)}, true)
+			c.Advance(time.Second)
+			t.Update([]Entry{entry(0), entry(1)}, true)
+			c.Advance(2 * time.Second)
+			t.sweep()
+		}, 2},
+	}
+	Convey("Of two targets", t, func() {
+		for _, c := range cases {
+			Convey(c.name, func() {
+				clock := clockwork.NewFakeClock()
+				tr := newTracker(clock)
+				tr.Update([]Entry{entry(0), entry(1)}, false)
+				c.steps(tr, clock)
+				So(tr.Replicas("s"), ShouldHaveLength, c.want)
+				So(tr.Known(), ShouldEqual, c.want)
+			})
+		}
+	})
+}
+
+func TestSharesStayWithinTheLimits(t *testing.T) {
+	// Guards against instances that together open more connections than a target
+	// accepts, or send a cold target more than it can handle.
+	Convey("The shares of all instances sum up to the limit at most", t, func() {
+		for _, instances := range []int{1, 2, 3, 7, 8, 11, 20, 26} {
+			clock := clockwork.NewFakeClock()
+			tr := newTracker(clock)
+			tr.SetShare(1/float64(instances), 0)
+			So(instances*tr.connections("s"), ShouldBeLessThanOrEqualTo, 26)
+			cold := entry(0)
+			cold.ColdFor = time.Minute
+			tr.Update([]Entry{cold}, false)
+			// In any second, the rate times 1.5 and 5 more.
+			for range 5 {
+				admitted := 0
+				for range 1000 {
+					if tr.Replicas("s")[0].Admit(clock.Now()) {
+						admitted++
+					}
+					clock.Advance(time.Millisecond)
+				}
+				So(instances*admitted, ShouldBeLessThanOrEqualTo, 35)
+			}
+		}
+	})
+}
