--- a/conductor/lifecycle.go
+++ b/conductor/lifecycle.go
@@ -50,6 +50,8 @@
 			return
 		}
 		switch {
+		case c.leaving.Load():
+			return
 		case len(c.gossiper.Peers()) == 0:
 			c.meet(ctx)
 		case !c.registered.Load() && c.gossiper.Rank(c.adapter.Kinds.Instances) < anchors:
@@ -98,9 +100,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), announceTimeout)
 	c.gossiper.Announce(ctx)
 	cancel()
-	if c.registered.Load() {
-		go c.unregister()
-	}
+	go c.unregister()
 	c.clock.Sleep(max(leaveListen-c.clock.Since(start), 0))
 	var group sync.WaitGroup
 	for _, s := range servers {
@@ -127,7 +127,11 @@
 	c.log.Info("conductor: stopped", zap.Duration("After", c.clock.Since(start)))
 }
 
+// unregister removes the entry of this instance, if it wrote one.
 func (c *Conductor) unregister() {
+	if !c.registered.Load() {
+		return
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), leaveListen)
 	defer cancel()
 	err := c.adapter.Source.Delete(ctx, c.adapter.Kinds.Instances, string(c.settings.Load().Instance))
