Say which targets a late shard was sent to; test the receiver

Cause: a shard left out for lateness was logged without its targets, so a partial answer could not be traced to its cause; a query whose shards were all rejected was answered 502 as the shards still pending counted as run.

Change: when a query is decided, the shards left end at once and report their tries; an answer that is in by then is used.

--- a/gatherer/gatherer.go
+++ b/gatherer/gatherer.go
@@ -80,7 +80,6 @@
 	top        *Top
 	signatures map[string]struct{}
 	result     Result
-	ended      []bool
 	pending    int
 	least      int
 }
@@ -102,35 +101,48 @@
 	}
 	w := &gathering{
 		query: q, top: NewTop(q.Route.Gather.Top), signatures: make(map[string]struct{}, len(shards)),
-		ended: make([]bool, len(shards)), pending: len(shards),
-		least:  leastOf(q.Route.Gather),
-		result: Result{Ran: jujubegate.NotRun},
+		pending: len(shards),
+		least:   leastOf(q.Route.Gather),
+		result:  Result{Ran: jujubegate.NotRun},
 	}
-	soft, late := g.settings.Clock.After(g.untilObjective(q)), (<-chan time.Time)(nil)
+	reason := g.collect(ctx, w, parts)
+	cancel(connector.ErrAbandoned)
+	// The shards that are left end at once, and tell what they had tried.
+	for w.pending > 0 {
+		w.take(<-parts)
+	}
+	return w.finish(reason)
+}
+
+// collect takes in parts until the query can be answered or has failed, and
+// returns why it failed.
+func (g *Gatherer) collect(ctx context.Context, w *gathering, parts <-chan *part) jujubegate.Reason {
+	objective := w.query.Route.Objective
+	soft, late := g.settings.Clock.After(g.untilObjective(w.query)), (<-chan time.Time)(nil)
 	overdue := false
 	for w.pending > 0 {
 		select {
 		case p := <-parts:
 			w.take(p)
 			if w.hopeless() {
-				return w.finish(jujubegate.NoCoverage)
+				return jujubegate.NoCoverage
 			}
 		case <-soft:
 			soft = nil
 			if w.enough() {
-				return w.finish("")
+				return ""
 			}
-			late = g.settings.Clock.After(time.Duration(lateWait * float64(q.Route.Objective)))
+			late = g.settings.Clock.After(time.Duration(lateWait * float64(objective)))
 		case <-late:
 			late, overdue = nil, true
 		case <-ctx.Done():
-			return w.finish(jujubegate.DeadlinePassed)
+			return jujubegate.DeadlinePassed
 		}
 		if overdue && w.enough() {
-			return w.finish("")
+			return ""
 		}
 	}
-	return w.finish("")
+	return ""
 }
 
 // overload returns how long a query had better wait because so many shards are
@@ -165,23 +177,32 @@
 }
 
 func (w *gathering) take(p *part) {
-	w.pending--
-	w.ended[p.index] = true
-	w.result.Tries += len(p.outcome.Tries)
-	if p.outcome.Ran != jujubegate.NotRun {
-		w.result.Ran = jujubegate.Unknown
-	}
 	signature := p.outcome.Answer.Signature
 	_, twice := w.signatures[signature]
 	if !p.outcome.Success() || twice {
-		w.result.Missing = append(w.result.Missing, Missing{w.query.Route.Gather.Shards[p.index], p.outcome})
+		w.leave(p)
 		return
 	}
+	w.count(p)
 	w.signatures[signature] = struct{}{}
 	w.result.Signatures = append(w.result.Signatures, signature)
 	w.top.Add(p.outcome.Answer.Body)
 }
 
+// leave takes in a shard that is left out.
+func (w *gathering) leave(p *part) {
+	w.count(p)
+	w.result.Missing = append(w.result.Missing, Missing{w.query.Route.Gather.Shards[p.index], p.outcome})
+}
+
+func (w *gathering) count(p *part) {
+	w.pending--
+	w.result.Tries += len(p.outcome.Tries)
+	if p.outcome.Ran != jujubegate.NotRun {
+		w.result.Ran = jujubegate.Unknown
+	}
+}
+
 func (w *gathering) enough() bool { return len(w.result.Signatures) >= w.least }
 
 // hopeless reports whether the floor cannot be reached any more.
@@ -189,12 +210,6 @@
 
 // finish returns the answer with the shards that are in.
 func (w *gathering) finish(reason jujubegate.Reason) Result {
-	for i, ended := range w.ended {
-		if !ended {
-			w.result.Missing = append(w.result.Missing, Missing{Shard: w.query.Route.Gather.Shards[i]})
-			w.result.Ran = jujubegate.Unknown
-		}
-	}
 	w.result.OK = w.enough()
 	if w.result.OK {
 		w.result.Ran, w.result.Body = jujubegate.Ran, w.top.Bytes()
--- a/gatherer/gatherer_test.go
+++ b/gatherer/gatherer_test.go
@@ -89,7 +89,7 @@
 		{"below the floor at the objective, then above", with(plan(10*ms), shardPlan{after: 120 * ms, status: 200}, 1, 2, 3), 0, true, 10, 122 * ms, jujubegate.Ran},
 		{"late wait ends", with(with(plan(10*ms), shardPlan{after: 110 * ms, status: 200}, 1, 2), late, 3), 0, true, 9, 140 * ms, jujubegate.Ran},
 		{"floor out of reach", with(plan(50*ms), failed, 1, 2, 3), 0, false, 0, 7 * ms, jujubegate.Unknown},
-		{"nothing ran", with(plan(10*ms), shed, 0, 1, 2, 3, 4, 5, 6, 7, 8, 9), 0, false, 0, 4 * ms, jujubegate.Unknown},
+		{"nothing ran", with(plan(10*ms), shed, 0, 1, 2, 3, 4, 5, 6, 7, 8, 9), 0, false, 0, 4 * ms, jujubegate.NotRun},
 		{"overloaded", plan(10 * ms), 80 * ms, false, 0, ms, jujubegate.NotRun},
 	}
 	for _, c := range cases {
@@ -139,7 +139,7 @@
 	Convey("The second part with the same signature is left out", t, func() {
 		w := &gathering{
 			query: Query{Route: &router.Route{Gather: &router.Gather{Shards: []jujubegate.Service{"a", "b"}}}},
-			top:   NewTop(1), signatures: map[string]struct{}{}, ended: make([]bool, 2), pending: 2, least: 1,
+			top:   NewTop(1), signatures: map[string]struct{}{}, pending: 2, least: 1,
 		}
 		for i := range 2 {
 			w.take(&part{i, sender.Outcome{OK: true, Answer: connector.Answer{Status: 200, Signature: "same"}}})
--- a/receiver/explain.go
+++ b/receiver/explain.go
@@ -85,14 +85,6 @@
 // MarshalLogObject writes the fields of a shard that was left out.
 func (m missed) MarshalLogObject(o zapcore.ObjectEncoder) error {
 	o.AddString("Shard", string(m.Shard))
-	if len(m.Outcome.Tries) == 0 {
-		reason := string(m.Outcome.Reason)
-		if reason == "" {
-			reason = "Late"
-		}
-		o.AddString("Reason", reason)
-		return nil
-	}
 	o.AddString("Reason", string(m.Outcome.Reason))
 	return o.AddArray("Tries", tries(m.Outcome.Tries))
 }
--- /dev/null
+++ b/receiver/receiver_test.go
@@ -0,0 +1,141 @@
+package receiver
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	. "github.com/smartystreets/goconvey/convey"
+	"go.uber.org/zap"
+
+	"jujubegate.example/jujubegate"
+	"jujubegate.example/jujubegate/connector"
+	"jujubegate.example/jujubegate/gatherer"
+	"jujubegate.example/jujubegate/recorder"
+	"jujubegate.example/jujubegate/router"
+	"jujubegate.example/jujubegate/sender"
+)
+
+var names = &connector.Names{RequestID: "X-Id", Budget: "X-Budget", Signature: "X-Signature", Parts: "X-Parts", PartsMissing: "X-Parts-Missing"}
+
+func table() *router.Table {
+	return router.New(4, []router.Route{
+		{Name: "order", Host: "h", PathPrefix: "/o/", Timeout: time.Second, Backends: []router.Backend{{Service: "s", Weight: 1}}},
+		{Name: "query", Host: "h", PathPrefix: "/q/", Timeout: time.Second, Idempotent: true, Gather: &router.Gather{Shards: []jujubegate.Service{"a", "b"}}},
+	}, nil, router.Limits{BodyBytes: 10}, nil)
+}
+
+func TestAnswers(t *testing.T) {
+	// Guards against a status that promises what is not true, and against a 404
+	// by an instance that may not know the newest routes.
+	answered := sender.Outcome{OK: true, Ran: jujubegate.Ran, Answer: connector.Answer{
+		Status: 200, Body: []byte("body"), Signature: "s", Header: http.Header{"X-Signature": {"s"}, "Connection": {"x-hop"}, "X-Hop": {"1"}},
+	}}
+	cases := []struct {
+		name, path, budget, body string
+		noTable, old             bool
+		outcome                  sender.Outcome
+		result                   gatherer.Result
+		status                   int
+		retryAfter               bool
+	}{
+		{name: "answer", path: "/o/x", outcome: answered, status: 200},
+		{name: "target's own failure", path: "/o/x", outcome: sender.Outcome{OK: true, Answer: connector.Answer{Status: 500, Signature: "f"}}, status: 500},
+		{name: "not run", path: "/o/x", outcome: sender.Outcome{Ran: jujubegate.NotRun, Reason: jujubegate.Shed}, status: 503, retryAfter: true},
+		{name: "may have run", path: "/o/x", outcome: sender.Outcome{Ran: jujubegate.Unknown, Reason: jujubegate.BadAnswer}, status: 502},
+		{name: "late, may have run", path: "/o/x", outcome: sender.Outcome{Ran: jujubegate.Unknown, Reason: jujubegate.DeadlinePassed}, status: 504},
+		{name: "late, not run", path: "/o/x", outcome: sender.Outcome{Ran: jujubegate.NotRun, Reason: jujubegate.DeadlinePassed}, status: 504},
+		{name: "query", path: "/q/x", result: gatherer.Result{OK: true, Signatures: []string{"1", "2"}, Body: []byte("x")}, status: 200},
+		{name: "query below the floor", path: "/q/x", result: gatherer.Result{Ran: jujubegate.Unknown, Reason: jujubegate.NoCoverage}, status: 502},
+		{name: "query in an overload", path: "/q/x", result: gatherer.Result{Ran: jujubegate.NotRun, Reason: jujubegate.Overloaded, RetryAfter: time.Second}, status: 503, retryAfter: true},
+		{name: "no configuration", path: "/o/x", noTable: true, status: 503, retryAfter: true},
+		{name: "no route", path: "/n/", status: 404},
+		{name: "no route, perhaps a newer one", path: "/n/", old: true, status: 503, retryAfter: true},
+		{name: "bad budget", path: "/o/x", budget: "soon", status: 400},
+		{name: "budget used up", path: "/o/x", budget: "0", status: 503},
+		{name: "body too large", path: "/o/x", body: strings.Repeat("x", 11), status: 413},
+	}
+	Convey("A request", t, func() {
+		for _, c := range cases {
+			Convey(c.name, func() {
+				sent := 0
+				r := New(Settings{
+					Names: names, Clock: clockwork.NewRealClock(), Log: zap.NewNop(), Recorder: recorder.New(zap.NewNop(), false),
+					Table: func() *router.Table {
+						if c.noTable {
+							return nil
+						}
+						return table()
+					},
+					Current: func() bool { return !c.old }, Leaving: func() bool { return false },
+					Send:   func(context.Context, sender.Call) sender.Outcome { sent++; return c.outcome },
+					Gather: func(context.Context, gatherer.Query) gatherer.Result { sent++; return c.result },
+				})
+				request := httptest.NewRequest(http.MethodPost, c.path, strings.NewReader(c.body))
+				request.Host = "h"
+				request.Header.Set("X-Id", "id")
+				if c.budget != "" {
+					request.Header.Set("X-Budget", c.budget)
+				}
+				w := httptest.NewRecorder()
+				r.ServeHTTP(w, request)
+				So(w.Code, ShouldEqual, c.status)
+				So(w.Header().Get("Retry-After") != "", ShouldEqual, c.retryAfter)
+				So(w.Header().Get("Content-Length"), ShouldEqual, fmt.Sprint(w.Body.Len()))
+				So(w.Header().Get("X-Hop"), ShouldEqual, "")
+				if c.status == 400 || c.status == 404 || c.status == 413 {
+					So(sent, ShouldEqual, 0)
+				}
+			})
+		}
+	})
+}
+
+func TestDeadline(t *testing.T) {
+	// Guards against targets that are told more time than is left, and against
+	// work that goes on after its caller has left.
+	cases := []struct {
+		name, budget string
+		want         time.Duration
+	}{
+		{"caller's", "300", 300 * time.Millisecond},
+		{"route's", "5000", time.Second},
+		{"none told", "", time.Second},
+	}
+	Convey("The deadline is the earlier one", t, func() {
+		for _, c := range cases {
+			Convey(c.name, func() {
+				var left time.Duration
+				var ended bool
+				r := New(Settings{
+					Names: names, Clock: clockwork.NewRealClock(), Log: zap.NewNop(), Recorder: recorder.New(zap.NewNop(), false),
+					Table: table, Current: func() bool { return true }, Leaving: func() bool { return true },
+					Send: func(ctx context.Context, call sender.Call) sender.Outcome {
+						left = time.Until(call.Request.Deadline)
+						<-ctx.Done()
+						ended = true
+						return sender.Outcome{Ran: jujubegate.Unknown, Reason: jujubegate.Cancelled}
+					},
+				})
+				ctx, cancel := context.WithTimeout(context.Background(), 20*time.Millisecond)
+				defer cancel()
+				request := httptest.NewRequest(http.MethodGet, "/o/x", nil).WithContext(ctx)
+				request.Host = "h"
+				request.Header.Set("X-Id", "id")
+				if c.budget != "" {
+					request.Header.Set("X-Budget", c.budget)
+				}
+				w := httptest.NewRecorder()
+				r.ServeHTTP(w, request)
+				So(ended, ShouldBeTrue)
+				So(left, ShouldBeBetweenOrEqual, c.want-50*time.Millisecond, c.want)
+				So(w.Header().Get("Connection"), ShouldEqual, "close")
+			})
+		}
+	})
+}
--- a/sender/call.go
+++ b/sender/call.go
@@ -59,6 +59,9 @@
 	Cancelled End = "Cancelled"
 )
 
+// Late is the reason of a call that was given up as its answer came too late.
+const Late jujubegate.Reason = "Late"
+
 // Outcome is the end of a call.
 type Outcome struct {
 	// Answer is the target's, if OK is set.
--- a/sender/sender.go
+++ b/sender/sender.go
@@ -222,6 +222,21 @@
 			r.next(Hedge)
 			hedge = r.sender.settings.Clock.After(r.hedgeDelay())
 		case <-r.ctx.Done():
+			return r.last()
+		}
+	}
+}
+
+// last is the outcome when the context has ended: an answer that is in is used.
+func (r *run) last() Outcome {
+	for {
+		select {
+		case e := <-r.results:
+			r.inHand--
+			if outcome, done := r.settle(e); done && outcome.OK {
+				return outcome
+			}
+		default:
 			return r.interrupted()
 		}
 	}
@@ -467,8 +482,11 @@
 	if r.failure != nil {
 		return r.answered(r.failure)
 	}
-	if errors.Is(context.Cause(r.ctx), context.DeadlineExceeded) {
+	switch cause := context.Cause(r.ctx); {
+	case errors.Is(cause, context.DeadlineExceeded):
 		return r.without(jujubegate.DeadlinePassed)
+	case errors.Is(cause, connector.ErrAbandoned):
+		return r.without(Late)
 	}
 	return r.without(jujubegate.Cancelled)
 }
