Leave two fifths of a target's connections to instances that lost power

Ruled out: empty budgets of repeats, targets not yet known (known after 0.04 s).

Change: the instances share 0.6 of a target's connections, rounded, not 0.9.

--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"math"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -18,8 +19,9 @@
 )
 
 // connectionShare is the part of a target's connections that the instances
-// share; the rest is left for those of instances that ended a moment ago.
-const connectionShare = 0.9
+// share. The rest is for those of instances that lost power: a target keeps them
+// for seconds, and resets new ones over its cap.
+const connectionShare = 0.6
 
 // Settings are the dependencies of a Tracker.
 type Settings struct {
@@ -231,7 +233,7 @@
 	if !ok || s.Connections <= 0 {
 		return 1
 	}
-	return max(int(connectionShare*t.share*float64(s.Connections)), 1)
+	return max(int(math.Round(connectionShare*t.share*float64(s.Connections))), 1)
 }
 
 func (t *Tracker) bound() {
