Wake up less: stop hedge timers, look for turns less often

Thirty timers a query fired for nothing, and four replicators, the tracker and the promoter looked for work 35 times a second in each instance; each wake-up is charged. Ruled out: allocations (a trial without the large ones made no difference).

Change: hedge timers are stopped; turns are looked for every 250 ms, targets swept every 250 ms, moves reviewed every 300 ms.

--- a/promoter/promoter.go
+++ b/promoter/promoter.go
@@ -22,7 +22,7 @@
 	// the traffic.
 	completeAt = 0.95
 	// reviewPeriod is the time between two looks at the evidence.
-	reviewPeriod = 200 * time.Millisecond
+	reviewPeriod = 300 * time.Millisecond
 	// rankDelay separates the instances that write a state, in order of rank.
 	rankDelay = 600 * time.Millisecond
 	// writeTimeout bounds the writing of a state.
--- a/replicator/replicator.go
+++ b/replicator/replicator.go
@@ -26,7 +26,7 @@
 	maxBackoff = time.Second
 	// turnCheck is the time between two looks whether it is this instance's
 	// turn to read.
-	turnCheck = 50 * time.Millisecond
+	turnCheck = 250 * time.Millisecond
 	// gapLimit is the time between two confirmations from which on the store
 	// counts as having been away.
 	gapLimit = 1500 * time.Millisecond
--- a/sender/sender.go
+++ b/sender/sender.go
@@ -61,6 +61,9 @@
 	// Observe receives each answer of a target, with its version; nil ignores it.
 	Observe func(c Call, version jujubegate.Version, bad bool, took time.Duration)
 	Seed    uint64
+	// NewTimer starts a timer that can be stopped; nil means time.NewTimer. A
+	// timer that fires for nothing wakes the process up.
+	NewTimer func(time.Duration) *time.Timer
 }
 
 // Sender sends requests. It is safe for concurrent use.
@@ -75,6 +78,9 @@
 
 // New returns a sender without samples.
 func New(settings Settings) *Sender {
+	if settings.NewTimer == nil {
+		settings.NewTimer = time.NewTimer
+	}
 	return &Sender{
 		settings:   settings,
 		random:     rand.New(rand.NewPCG(settings.Seed, 1)),
@@ -205,7 +211,8 @@
 	if reason := r.next(First); reason != "" {
 		return r.without(reason)
 	}
-	hedge := r.sender.settings.Clock.After(r.hedgeDelay())
+	hedge := r.sender.settings.NewTimer(r.hedgeDelay())
+	defer hedge.Stop()
 	for {
 		select {
 		case e := <-r.results:
@@ -213,14 +220,13 @@
 			if outcome, done := r.settle(e); done {
 				return outcome
 			}
-		case <-hedge:
-			hedge = nil
+		case <-hedge.C:
 			if !r.mayHedge() {
 				continue
 			}
 			// Without a better target or a budget just now, another look follows.
 			r.next(Hedge)
-			hedge = r.sender.settings.Clock.After(r.hedgeDelay())
+			hedge.Reset(r.hedgeDelay())
 		case <-r.ctx.Done():
 			return r.last()
 		}
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -132,7 +132,7 @@
 }
 
 // sweepPeriod is the time between two looks for targets whose hold has ended.
-const sweepPeriod = 100 * time.Millisecond
+const sweepPeriod = 250 * time.Millisecond
 
 // Run removes targets whose entries are gone for good, until the context ends.
 func (t *Tracker) Run(ctx context.Context) {
