--- a/connector/help_test.go
+++ b/connector/help_test.go
@@ -20,7 +20,7 @@
 
 var names = &Names{
 	RequestID: "X-Id", Budget: "X-Budget", Signature: "X-Signature",
-	ExpectTarget: "X-Expect", TargetID: "X-Target", Load: "X-Load", NotRun: "X-Not-Run",
+	ExpectTarget: "X-Expect", Load: "X-Load", NotRun: "X-Not-Run",
 }
 
 // fakeTarget accepts connections and hands each to serve.
--- a/connector/names.go
+++ b/connector/names.go
@@ -11,8 +11,6 @@
 	Signature string
 	// ExpectTarget holds the ID of the only target that may run the request.
 	ExpectTarget string
-	// TargetID holds the ID of the target that answered a health check.
-	TargetID string
 	// Load holds the running requests, the waiting ones and the slots.
 	Load string
 	// NotRun marks an answer to a request that the target did not run.
--- a/connector/pool.go
+++ b/connector/pool.go
@@ -133,13 +133,6 @@
 	p.refusedUntil = p.settings.Clock.Now().Add(pause)
 }
 
-// Open returns the number of open connections.
-func (p *Pool) Open() int {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.open
-}
-
 // Trim closes connections that have been idle for longer.
 func (p *Pool) Trim(idle time.Duration) {
 	now := p.settings.Clock.Now()
--- /dev/null
+++ b/gossiper/fetch.go
@@ -0,0 +1,115 @@
+package gossiper
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"connectrpc.com/connect"
+	"go.uber.org/zap"
+
+	"jujubegate.example/jujubegate/replicator"
+	"jujubegate.example/jujubegate/wire"
+)
+
+// Fetch returns the objects of a kind, or the changes since a revision.
+func (g *Gossiper) Fetch(_ context.Context, r *connect.Request[wire.FetchRequest]) (*connect.Response[wire.FetchResponse], error) {
+	if r.Msg.Fleet != g.settings.Fleet {
+		return nil, connect.NewError(connect.CodeInvalidArgument, fmt.Errorf("fleet %q is not served here", r.Msg.Fleet))
+	}
+	held := g.replicator(r.Msg.Kind)
+	if held == nil || held.State() == nil {
+		return nil, connect.NewError(connect.CodeNotFound, fmt.Errorf("kind %q is not held", r.Msg.Kind))
+	}
+	age := held.Age().Milliseconds()
+	if c, ok := held.Since(r.Msg.After); ok && r.Msg.After > 0 {
+		answer := &wire.FetchResponse{Revision: c.Revision, AgeMs: age}
+		for _, change := range c.Changes {
+			answer.Objects = append(answer.Objects, stored(change.Object, change.Removed))
+		}
+		return connect.NewResponse(answer), nil
+	}
+	s := held.State()
+	answer := &wire.FetchResponse{Revision: s.Revision, AgeMs: age, Whole: true}
+	for _, o := range s.Objects {
+		answer.Objects = append(answer.Objects, stored(o, false))
+	}
+	return connect.NewResponse(answer), nil
+}
+
+func stored(o replicator.Object, removed bool) *wire.StoredObject {
+	return &wire.StoredObject{Name: o.Name, Revision: o.Revision, Value: o.Value, Removed: removed}
+}
+
+func (g *Gossiper) replicator(kind string) *replicator.Replicator {
+	for _, r := range g.settings.Replicators {
+		if r.Kind() == kind {
+			return r
+		}
+	}
+	return nil
+}
+
+// compare takes over the confirmations of a peer, and fetches the kinds of which
+// it holds a newer revision.
+func (g *Gossiper) compare(address string, holdings []*wire.Holding) {
+	for _, h := range holdings {
+		r := g.replicator(h.Kind)
+		if r == nil {
+			continue
+		}
+		g.mu.Lock()
+		if g.failing[h.Kind].Has(address) != h.Failing {
+			if h.Failing {
+				g.failing[h.Kind] = g.failing[h.Kind].With(address)
+			} else {
+				g.failing[h.Kind] = g.failing[h.Kind].Without(address)
+			}
+		}
+		wanted := h.Revision > r.Revision() && !g.fetching[h.Kind]
+		if wanted {
+			g.fetching[h.Kind] = true
+		}
+		g.mu.Unlock()
+		if wanted {
+			go g.fetch(address, r)
+			continue
+		}
+		r.Confirm(h.Revision, time.Duration(h.AgeMs)*time.Millisecond)
+	}
+}
+
+func (g *Gossiper) fetch(address string, r *replicator.Replicator) {
+	defer func() {
+		g.mu.Lock()
+		delete(g.fetching, r.Kind())
+		g.mu.Unlock()
+	}()
+	ctx, cancel := context.WithTimeout(context.Background(), fetchTimeout)
+	defer cancel()
+	after := r.Revision()
+	answer, err := g.client(address).Fetch(ctx, connect.NewRequest(&wire.FetchRequest{Fleet: g.settings.Fleet, Kind: r.Kind(), After: after}))
+	if err != nil {
+		g.settings.Log.Warn("gossiper: fetch failed", zap.String("Address", address), zap.String("Kind", r.Kind()), zap.Error(err))
+		return
+	}
+	m := answer.Msg
+	age := time.Duration(m.AgeMs) * time.Millisecond
+	if m.Whole {
+		l := replicator.Listing{Revision: m.Revision}
+		for _, o := range m.Objects {
+			l.Objects = append(l.Objects, object(o))
+		}
+		r.Replace(l, age, true)
+		return
+	}
+	c := replicator.Changes{Revision: m.Revision}
+	for _, o := range m.Objects {
+		c.Changes = append(c.Changes, replicator.Change{Object: object(o), Removed: o.Removed})
+	}
+	r.Apply(after, c, age)
+}
+
+func object(o *wire.StoredObject) replicator.Object {
+	return replicator.Object{Name: o.Name, Revision: o.Revision, Value: o.Value}
+}
--- a/replicator/replicator_test.go
+++ b/replicator/replicator_test.go
@@ -13,6 +13,8 @@
 	"github.com/jonboulle/clockwork"
 	"go.uber.org/zap"
 	"pgregory.net/rapid"
+
+	"jujubegate.example/jujubegate/storer"
 )
 
 func newReplicator(source Source, turn time.Duration) *Replicator {
@@ -122,7 +124,7 @@
 			Watch: func(_ context.Context, _ string, after int64, wait time.Duration) (Changes, error) {
 				time.Sleep(wait)
 				if down.Load() {
-					return Changes{}, ErrUnavailable
+					return Changes{}, storer.ErrUnavailable
 				}
 				if now := revision.Load(); now > after {
 					return Changes{Revision: now, Changes: []Change{{Object: Object{Name: "a", Revision: now}}}}, nil
--- a/replicator/source.go
+++ b/replicator/source.go
@@ -6,19 +6,9 @@
 	"time"
 )
 
-// Errors of a source.
-var (
-	// ErrHistoryGone says that changes since a revision are no longer known.
-	ErrHistoryGone = errors.New("the store no longer holds the history")
-	// ErrUnavailable says that the call had no effect.
-	ErrUnavailable = errors.New("the store is unavailable, the call had no effect")
-	// ErrUnknown says that a write may have taken effect or may still do so.
-	ErrUnknown = errors.New("the store did not answer, the write may take effect")
-	// ErrConflict says that the object has another revision.
-	ErrConflict = errors.New("the object has another revision")
-	// ErrNotFound says that the object does not exist.
-	ErrNotFound = errors.New("the object does not exist")
-)
+// ErrHistoryGone says that changes since a revision are no longer known. The
+// other errors of a source are those of package storer.
+var ErrHistoryGone = errors.New("the store no longer holds the history")
 
 // Object is one object of the store.
 type Object struct {
--- a/router/route.go
+++ b/router/route.go
@@ -54,12 +54,9 @@
 
 // Service is what the configuration says of one service.
 type Service struct {
-	Name       jujubegate.Service
-	HealthPath string
+	Name jujubegate.Service
 	// Connections is what one target accepts from all callers together.
 	Connections int
-	// WarmUp is how long a target is cold after its start.
-	WarmUp time.Duration
 	// ColdRate is the rate in requests per second that a cold target can
 	// handle; 0 means that it is not limited.
 	ColdRate float64
@@ -133,22 +130,6 @@
 	return s, ok
 }
 
-// Services returns the names of all services that routes lead to.
-func (t *Table) Services() jujubegate.Set[jujubegate.Service] {
-	var names []jujubegate.Service
-	for _, list := range t.hosts {
-		for _, r := range list {
-			for _, b := range r.Backends {
-				names = append(names, b.Service)
-			}
-			if r.Gather != nil {
-				names = append(names, r.Gather.Shards...)
-			}
-		}
-	}
-	return jujubegate.NewSet(names...)
-}
-
 // goldenStep is the fractional part of the golden ratio in units of 2^-64. Its
 // multiples are spread evenly, so that short spans keep the weights too.
 const goldenStep = 0x9E3779B97F4A7C15
--- a/tracker/replica.go
+++ b/tracker/replica.go
@@ -111,9 +111,6 @@
 	return float64(l.Waiting) / float64(max(l.Slots, 1))
 }
 
-// SetMisdirected records that another target has the address now.
-func (r *Replica) SetMisdirected() { r.misdirected.Store(true) }
-
 // Option returns the replica as a choice of the balancer.
 func (r *Replica) Option() balancer.Option {
 	o := balancer.Option{Replica: r.Score, State: jujubegate.Warm, Limit: max(r.Entry().Slots, 1)}
