Name all settings that a reload does not take over

Cause: the operations page and Reload said that seeds and bounds are taken over, but the drain, repeat and cold bounds, the processor and the fleet are read at the start only, and the log did not name them. Ruled out: a use of the new values elsewhere (only the grace and the look-up time are read again).

--- a/conductor/lifecycle.go
+++ b/conductor/lifecycle.go
@@ -25,8 +25,9 @@
 	anchors = 3
 )
 
-// Reload reads the settings again. Seeds and bounds are taken over; the rest
-// needs a restart. Settings with findings change nothing.
+// Reload reads the settings again. Seeds, the grace and the time for which
+// callers keep addresses are taken over; the rest needs a restart. Settings with
+// findings change nothing.
 func (c *Conductor) Reload(path string) {
 	next, err := Load(path)
 	if err != nil {
--- a/conductor/settings.go
+++ b/conductor/settings.go
@@ -84,6 +84,9 @@
 
 // unchangeable returns the names of the settings that differ and need a restart.
 func (s *Settings) unchangeable(next *Settings) []string {
+	// The other bounds are taken at the start.
+	bounds := next.Bounds
+	bounds.GraceSeconds, bounds.LookupSeconds = s.Bounds.GraceSeconds, s.Bounds.LookupSeconds
 	var names []string
 	for _, field := range []struct {
 		name string
@@ -94,6 +97,9 @@
 		{"Listen", s.Listen == next.Listen},
 		{"Store", s.Store == next.Store},
 		{"Log", s.Log == next.Log},
+		{"Fleet", s.Fleet == next.Fleet},
+		{"Cores", s.Cores == next.Cores && s.CoreShare == next.CoreShare},
+		{"Bounds", s.Bounds == bounds},
 	} {
 		if !field.same {
 			names = append(names, field.name)
--- a/conductor/settings_test.go
+++ b/conductor/settings_test.go
@@ -74,3 +74,33 @@
 		}
 	})
 }
+
+func TestUnchangeable(t *testing.T) {
+	// Guards against a reload that says a setting is in force although it was
+	// taken at the start.
+	cases := []struct {
+		name, from, to string
+		want           []string
+	}{
+		{"nothing", "", "", nil},
+		{"seeds", "Cores = 1", "Seeds = [\"127.0.0.1:9\"]\nCores = 1", nil},
+		{"grace", "GraceSeconds = 6", "GraceSeconds = 9", nil},
+		{"look-up", "LookupSeconds = 5", "LookupSeconds = 1", nil},
+		{"repeats", "RepeatRatio = 0.2", "RepeatRatio = 0.1", []string{"Bounds"}},
+		{"drain", "DrainMillis = 3000", "DrainMillis = 5000", []string{"Bounds"}},
+		{"processor", "CoreShare = 0.4", "CoreShare = 0.8", []string{"Cores"}},
+		{"fleet", "Cores = 1", "Fleet = \"f\"\nCores = 1", []string{"Fleet"}},
+		{"store", "127.0.0.1:5", "127.0.0.1:6", []string{"Store"}},
+	}
+	Convey("Changed settings that need a restart", t, func() {
+		old, err := Parse("test", []byte(valid))
+		So(err, ShouldBeNil)
+		for _, c := range cases {
+			Convey(c.name, func() {
+				next, err := Parse("test", []byte(strings.Replace(valid, c.from, c.to, 1)))
+				So(err, ShouldBeNil)
+				So(old.unchangeable(&next), ShouldResemble, c.want)
+			})
+		}
+	})
+}
