Hold lapsed targets by when the store was last seen to list them

Change: the replicator tells when the list before was last confirmed and how long the gap was. A loss counts as lapsed only if the gap was as long as the drain time, or if half of the entries went in it; such targets are used until 2.8 s after the return. Any other target that is missing is given up 0.3 s before the end of the drain time, which counts from the last confirmation, and serves only where no listed target is left. TestHold of the settings becomes TestTargetsThatLeaveAreGivenUpInTime, which checks the bound at the tracker, with the 1.6 and 2.9 s gaps that the constant could not cover.

Measured: the new cases of TestReplicas fail with the hold before.

--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -98,7 +98,7 @@
 	c.cut, c.cutNow = context.WithCancel(context.Background())
 	opened := rec.Counter(recorder.ConnectionsOpened)
 	c.tracker = tracker.New(tracker.Settings{
-		Clock: clock, Log: log, Hold: settings.Bounds.hold(),
+		Clock: clock, Log: log, Drain: settings.Bounds.drain(),
 		NewPool: func(e tracker.Entry, bound int) *connector.Pool {
 			return connector.New(connector.Settings{Target: e.Address, TargetID: e.ID, Names: adapter.Names, Clock: clock, Opened: opened.Inc}, bound)
 		},
@@ -232,7 +232,7 @@
 			delete(c.decoded, name)
 		}
 	}
-	c.tracker.Update(entries, s.Troubled)
+	c.tracker.Update(entries, tracker.Sight{SeenAt: s.SeenAt, Gap: s.Gap.Length, GapEndedAt: s.Gap.EndedAt})
 }
 
 func (c *Conductor) takeOut(s *replicator.State) {
--- a/conductor/settings.go
+++ b/conductor/settings.go
@@ -196,11 +196,3 @@
 func (b Bounds) grace() time.Duration { return time.Duration(b.GraceSeconds * float64(time.Second)) }
 
 func (b Bounds) drain() time.Duration { return time.Duration(b.DrainMillis) * time.Millisecond }
-
-// maxHold bounds the time for which a target whose entry is gone is still used:
-// entries that lapsed with the store are back within about 2 s.
-const maxHold = 2300 * time.Millisecond
-
-// hold is the time for which a target whose entry is gone is still used. The
-// loss becomes known up to 1.3 s late, and half of the drain time is left.
-func (b Bounds) hold() time.Duration { return min(b.drain()/2, maxHold) }
--- a/replicator/replicator.go
+++ b/replicator/replicator.go
@@ -28,11 +28,11 @@
 	// turn to read.
 	turnCheck = 250 * time.Millisecond
 	// gapLimit is the time between two confirmations from which on the store
-	// counts as having been away.
+	// may have been away: a watch, its pause and a round of gossip take less.
 	gapLimit = 1500 * time.Millisecond
-	// troubleFor is how long after the store's return objects may be missing that
-	// have lapsed meanwhile: they are back within about two seconds.
-	troubleFor = 3 * time.Second
+	// gapFor is how long after its end a gap still explains missing objects:
+	// owners that live write them again within about two seconds.
+	gapFor = 3 * time.Second
 	// historyLength is the number of changes kept for instances that are behind.
 	historyLength = 1024
 )
@@ -59,9 +59,18 @@
 	Objects  map[string]Object
 	// FromPeer says that another instance told the state.
 	FromPeer bool
-	// Troubled says that the store was away a moment before, so that missing
-	// objects may have lapsed although their owners live.
-	Troubled bool
+	// SeenAt is when the state before was last confirmed: objects that are missing
+	// now have been in the store until then at least.
+	SeenAt time.Time
+	// Gap is the newest time without a confirmation.
+	Gap Gap
+}
+
+// Gap is a time without confirmations, in which objects can lapse although
+// their owners live. It is zero if there was none a moment before.
+type Gap struct {
+	Length  time.Duration
+	EndedAt time.Time
 }
 
 // Replicator keeps the copy of one kind. It is safe for concurrent use.
@@ -74,8 +83,7 @@
 	// confirmedAt is when some instance last read from the store that nothing
 	// newer than the state exists.
 	confirmedAt time.Time
-	// gapEndedAt is when a confirmation came after a time without any.
-	gapEndedAt time.Time
+	gap         Gap
 	// history holds the newest changes, each with the revision it led to;
 	// since is the revision that they follow on.
 	history []step
@@ -134,14 +142,18 @@
 	if !at.After(r.confirmedAt) {
 		return
 	}
-	if at.Sub(r.confirmedAt) > gapLimit {
-		r.gapEndedAt = r.settings.Clock.Now()
+	if length := at.Sub(r.confirmedAt); length > gapLimit {
+		r.gap = Gap{Length: length, EndedAt: r.settings.Clock.Now()}
 	}
 	r.confirmedAt = at
 }
 
-func (r *Replicator) troubled() bool {
-	return !r.gapEndedAt.IsZero() && r.settings.Clock.Now().Sub(r.gapEndedAt) < troubleFor
+// recentGap returns the newest gap, or none if that is long over.
+func (r *Replicator) recentGap() Gap {
+	if r.settings.Clock.Now().Sub(r.gap.EndedAt) >= gapFor {
+		return Gap{}
+	}
+	return r.gap
 }
 
 // Run reads the store whenever it is this instance's turn, until the context ends.
@@ -228,6 +240,7 @@
 	if old != nil && l.Revision < old.Revision {
 		return
 	}
+	seenAt := r.confirmedAt
 	r.confirm(r.settings.Clock.Now().Add(-age))
 	if old != nil && l.Revision == old.Revision {
 		return
@@ -237,7 +250,7 @@
 		objects[o.Name] = o
 	}
 	r.history, r.since = nil, l.Revision
-	r.publish(&State{Revision: l.Revision, Objects: objects, FromPeer: fromPeer})
+	r.publish(&State{Revision: l.Revision, Objects: objects, FromPeer: fromPeer, SeenAt: seenAt})
 }
 
 // Apply takes in the changes after a revision that the state has reached;
@@ -249,6 +262,7 @@
 	if old == nil || after > max(old.Revision, r.cursor) || c.Revision < old.Revision {
 		return
 	}
+	seenAt := r.confirmedAt
 	r.confirm(r.settings.Clock.Now().Add(-age))
 	r.cursor = max(r.cursor, c.Revision)
 	if len(c.Changes) == 0 || c.Revision == old.Revision {
@@ -265,7 +279,7 @@
 		objects[change.Object.Name] = change.Object
 	}
 	r.remember(c)
-	r.publish(&State{Revision: c.Revision, Objects: objects, FromPeer: age > 0})
+	r.publish(&State{Revision: c.Revision, Objects: objects, FromPeer: age > 0, SeenAt: seenAt})
 }
 
 func (r *Replicator) remember(c Changes) {
@@ -298,9 +312,9 @@
 }
 
 func (r *Replicator) publish(s *State) {
-	s.Troubled = r.troubled()
+	s.Gap = r.recentGap()
 	r.state.Store(s)
 	r.settings.Log.Info("replicator: state taken over", zap.String("Kind", r.settings.Kind),
-		zap.Int64("Revision", s.Revision), zap.Int("Objects", len(s.Objects)), zap.Bool("FromPeer", s.FromPeer), zap.Bool("Troubled", s.Troubled))
+		zap.Int64("Revision", s.Revision), zap.Int("Objects", len(s.Objects)), zap.Bool("FromPeer", s.FromPeer), zap.Duration("Gap", s.Gap.Length))
 	r.settings.Changed(s)
 }
--- a/tracker/replica.go
+++ b/tracker/replica.go
@@ -44,9 +44,10 @@
 	load  atomic.Pointer[connector.Load]
 	// misdirected is set once another target has answered at the address.
 	misdirected atomic.Bool
-	// lapsedAt is when the entry left the list; zero while it is listed.
-	lapsedAt time.Time
-	// suspect is set if the entry left the list while the store was fine.
+	// usableUntil is when a target whose entry is gone is given up; zero while
+	// it is listed.
+	usableUntil time.Time
+	// suspect is set if the target is probably gone with its entry.
 	suspect bool
 
 	mu          sync.Mutex
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -27,11 +27,8 @@
 type Settings struct {
 	Clock jujubegate.Clock
 	Log   *zap.Logger
-	// Hold is how long a target whose entry is gone may still be used: entries
-	// can lapse while the store is away although their targets live. With the
-	// time in which the loss becomes known, it must be below the time for which
-	// a target that leaves goes on serving.
-	Hold time.Duration
+	// Drain is how long a target that leaves goes on serving.
+	Drain time.Duration
 	// NewPool returns the connections to a target; a test replaces it.
 	NewPool func(e Entry, bound int) *connector.Pool
 	// ColdFactor and ColdAllowance bound what cold targets get in a second:
@@ -109,10 +106,8 @@
 	}
 }
 
-// Update replaces the list of targets. A target that is missing is used for a
-// while longer where no listed one is left, or, if the store was in trouble,
-// like the others.
-func (t *Tracker) Update(entries []Entry, trouble bool) {
+// Update replaces the list of targets.
+func (t *Tracker) Update(entries []Entry, sight Sight) {
 	now := t.settings.Clock.Now()
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -121,14 +116,13 @@
 		listed[e.ID] = struct{}{}
 		t.put(e, now)
 	}
+	var missing []*Replica
 	for id, r := range t.replicas {
-		if _, ok := listed[id]; ok || !r.lapsedAt.IsZero() {
-			continue
+		if _, ok := listed[id]; !ok && r.usableUntil.IsZero() {
+			missing = append(missing, r)
 		}
-		r.lapsedAt, r.suspect = now, !trouble
-		t.settings.Log.Info("tracker: target is no longer listed", zap.String("Target", id),
-			zap.String("Service", string(r.Entry().Service)), zap.Bool("StoreTrouble", trouble))
 	}
+	t.lapse(missing, len(entries), sight)
 	t.publish()
 }
 
@@ -155,7 +149,7 @@
 		if t.idle > 0 {
 			r.Pool.Trim(t.idle)
 		}
-		if !r.lapsedAt.IsZero() && now.Sub(r.lapsedAt) >= t.settings.Hold {
+		if !r.usableUntil.IsZero() && !now.Before(r.usableUntil) {
 			t.remove(id, r, "no longer listed")
 			removed = true
 		}
@@ -186,7 +180,7 @@
 		return
 	}
 	old := *r.Entry()
-	r.lapsedAt, r.suspect = time.Time{}, false
+	r.usableUntil, r.suspect = time.Time{}, false
 	if old == e {
 		return
 	}
