Pass over cold targets without a turn, and share their limit in large fleets

Cause: a request to a shard with one cold and one warm target was refused whenever the balancer drew the cold one after its limit was reached, which is most of the time: the cold one has the shorter queue.

Change: a cold target without a turn is no choice. Limits are worked out again with the configuration and with the share. Gossip begins a round when serving changes.

--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -5,11 +5,9 @@
 import (
 	"context"
 	"fmt"
-	"math"
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"slices"
 	"sync/atomic"
 	"time"
 
@@ -40,12 +38,6 @@
 	// configurationStale is the age from which on the configuration may be old,
 	// so that a route which it lacks may exist.
 	configurationStale = 2500 * time.Millisecond
-	// activePart is the part of the shared limits that the active instances
-	// have; the rest is for those that get few requests.
-	activePart = 0.8
-	// passiveIdle is how long an instance that gets few requests keeps idle
-	// connections, which count against the cap of a target.
-	passiveIdle = 1500 * time.Millisecond
 	// defaultLinesPerSecond bounds the log of one instance.
 	defaultLinesPerSecond = 200
 )
@@ -57,6 +49,7 @@
 	clock    jujubegate.Clock
 	log      *zap.Logger
 	recorder *recorder.Recorder
+	started  time.Time
 
 	table      atomic.Pointer[router.Table]
 	leaving    atomic.Bool
@@ -71,7 +64,7 @@
 	moves      *replicator.Replicator
 	promoter   *promoter.Promoter
 	decoded    map[string]decodedTarget
-	shared     atomic.Uint64
+	division   atomic.Pointer[division]
 	transport  *http.Transport
 
 	// cut ends the requests that are left at the end of the grace.
@@ -89,12 +82,12 @@
 // New returns an instance that Run starts.
 func New(settings Settings, adapter Adapter, clock jujubegate.Clock, log *zap.Logger, rec *recorder.Recorder) *Conductor {
 	c := &Conductor{
-		adapter: adapter, clock: clock, log: log, recorder: rec,
+		adapter: adapter, clock: clock, log: log, recorder: rec, started: clock.Now(),
 		decoded:   make(map[string]decodedTarget),
 		transport: &http.Transport{MaxIdleConnsPerHost: 2, DisableCompression: true},
 	}
 	c.settings.Store(&settings)
-	c.shared.Store(math.Float64bits(1))
+	c.division.Store(&division{self: settings.Instance, share: startShare, unsettled: true})
 	c.cut, c.cutNow = context.WithCancel(context.Background())
 	opened := rec.Counter(recorder.ConnectionsOpened)
 	c.tracker = tracker.New(tracker.Settings{
@@ -103,6 +96,7 @@
 			return connector.New(connector.Settings{Target: e.Address, TargetID: e.ID, Names: adapter.Names, Clock: clock, Opened: opened.Inc}, bound)
 		},
 		ColdFactor: settings.Bounds.ColdFactor, ColdAllowance: settings.Bounds.ColdAllowance,
+		ColdPart: c.coldPart,
 	})
 	c.config = c.follow(adapter.Kinds.Configuration, 0, c.configure)
 	c.targets = c.follow(adapter.Kinds.Targets, targetsPause, c.retarget)
@@ -145,8 +139,10 @@
 		Kind: kind, Source: c.adapter.Source, Clock: c.clock, Log: c.log, Pause: pause,
 		Turn: func() time.Duration { return c.gossiper.Turn(r) },
 		Changed: func(s *replicator.State) {
+			served := c.serving()
 			changed(s)
-			if !s.FromPeer || c.gossiper.Size() > gossiper.DirectPeers {
+			// Peers send callers here only once they know that this instance serves.
+			if c.serving() != served || !s.FromPeer || c.gossiper.Size() > gossiper.DirectPeers {
 				c.gossiper.Kick()
 			}
 		},
@@ -157,30 +153,6 @@
 // instances returns the number of instances that live, with this one.
 func (c *Conductor) instances() int { return len(c.gossiper.Peers()) + 1 }
 
-// share returns this instance's part of the limits that all instances share.
-func (c *Conductor) share() float64 { return math.Float64frombits(c.shared.Load()) }
-
-// divide works out the part of the shared limits. Instances that ended a while
-// ago still count, since their requests and connections can outlast them.
-func (c *Conductor) divide() {
-	fleet := c.fleet()
-	active := gossiper.Active(fleet)
-	ended := max(c.gossiper.Size()-len(fleet), 0)
-	isActive := slices.ContainsFunc(active, func(p gossiper.Peer) bool { return p.Instance == c.settings.Load().Instance })
-	var share float64
-	var idle time.Duration
-	switch passive := len(fleet) - len(active); {
-	case len(active) == 0 || passive == 0:
-		share = 1 / float64(len(fleet)+ended)
-	case isActive:
-		share = activePart / float64(len(active)+ended)
-	default:
-		share, idle = (1-activePart)/float64(passive+ended), passiveIdle
-	}
-	c.shared.Store(math.Float64bits(share))
-	c.tracker.SetShare(share, idle)
-}
-
 // fleet returns the instances that live, with this one.
 func (c *Conductor) fleet() []gossiper.Peer { return append(c.gossiper.Peers(), c.gossiper.Self()) }
 
@@ -269,6 +241,7 @@
 	go c.tracker.Run(background)
 	go c.register(background)
 	go c.promoter.Run(background)
+	go c.settle(background)
 	c.log.Info("conductor: started", zap.String("Instance", string(c.settings.Load().Instance)),
 		zap.String("DataCentre", string(c.settings.Load().DataCentre)), zap.String("Release", jujubegate.Release()), zap.Any("Listen", c.settings.Load().Listen))
 	select {
--- a/gossiper/active.go
+++ b/gossiper/active.go
@@ -47,3 +47,16 @@
 	}
 	return serving
 }
+
+// Place returns how many peers come before an instance in the order of a key,
+// in which each key has its own order.
+func Place(key string, instance jujubegate.Instance, peers []Peer) int {
+	own := weight(key, string(instance))
+	place := 0
+	for _, p := range peers {
+		if weight(key, string(p.Instance)) > own {
+			place++
+		}
+	}
+	return place
+}
--- a/sender/run.go
+++ b/sender/run.go
@@ -109,16 +109,13 @@
 // next starts a try at the best target left, or returns why there is none.
 func (r *run) next(why Why) jujubegate.Reason {
 	now := r.sender.settings.Clock.Now()
-	replica := r.choose(now, why)
+	replica, reason := r.admitted(now, why)
 	if replica == nil {
-		return jujubegate.NoCoverage
+		return reason
 	}
 	if why != First && r.sent > 0 && !r.budget.Take(reserveFor(why)) {
 		return jujubegate.Overloaded
 	}
-	if !replica.Admit(now) {
-		return jujubegate.Overloaded
-	}
 	r.tried = append(r.tried, replica)
 	r.tries = append(r.tries, Try{Target: replica.Entry().ID, Why: why, At: now.Sub(r.start)})
 	r.inHand++
@@ -137,12 +134,25 @@
 	return 0
 }
 
-// choose returns the target to try next, nil if none is left. A hedge goes to a
-// target that answers; the others take a paused one if all are.
-func (r *run) choose(now time.Time, why Why) *tracker.Replica {
+// admitted returns the target to try next, which has admitted the request, or
+// why there is none.
+func (r *run) admitted(now time.Time, why Why) (*tracker.Replica, jujubegate.Reason) {
+	for {
+		replica, reason := r.choose(now, why)
+		// Another request can have taken the turn at a cold target meanwhile.
+		if replica == nil || replica.Admit(now) {
+			return replica, reason
+		}
+	}
+}
+
+// choose returns the target to try next, or why there is none. Cold targets
+// without a turn are passed over. A hedge goes to a target that answers; the
+// others take a paused one if all are.
+func (r *run) choose(now time.Time, why Why) (*tracker.Replica, jujubegate.Reason) {
 	replicas := r.candidates
 	options := make([]balancer.Option, 0, usualReplicas)
-	var skip, paused uint64
+	var skip, paused, cold uint64
 	silence := r.silence()
 	distant := time.Duration(distanceWeight * float64(r.latency.Typical()))
 	for i, replica := range replicas {
@@ -154,28 +164,34 @@
 			option.Distance = distant
 		}
 		options = append(options, option)
-		if r.wasTried(replica) {
+		switch {
+		case r.wasTried(replica):
 			skip |= 1 << i
-		} else if replica.Silent(now) > silence || !replica.Pool.Free() {
+		case !replica.Admissible(now):
+			cold |= 1 << i
+		case replica.Silent(now) > silence || !replica.Pool.Free():
 			paused |= 1 << i
 		}
 	}
 	all := uint64(1)<<len(options) - 1
 	if skip == all {
-		return nil
+		return nil, jujubegate.NoCoverage
+	}
+	if skip |= cold; skip == all {
+		return nil, jujubegate.Overloaded
 	}
 	if skip|paused != all {
 		skip |= paused
 	} else if why == Hedge {
-		return nil
+		return nil, jujubegate.Overloaded
 	}
 	r.sender.mu.Lock()
 	i := balancer.Choose(now, options, skip, r.sender.random)
 	r.sender.mu.Unlock()
 	if i < 0 {
-		return nil
+		return nil, jujubegate.NoCoverage
 	}
-	return replicas[i]
+	return replicas[i], ""
 }
 
 func (r *run) wasTried(replica *tracker.Replica) bool {
--- a/sender/sender_test.go
+++ b/sender/sender_test.go
@@ -63,7 +63,7 @@
 	clock := clockwork.NewRealClock()
 	w := &world{}
 	tr := tracker.New(tracker.Settings{
-		Clock: clock, Log: zap.NewNop(), Drain: 2 * time.Second,
+		Clock: clock, Log: zap.NewNop(), Drain: 2 * time.Second, ColdPart: func(string, float64) float64 { return 1 },
 		NewPool: func(e tracker.Entry, bound int) *connector.Pool {
 			p := connector.New(connector.Settings{Target: e.Address, TargetID: e.ID, Names: names, Clock: clock}, 8)
 			t.Cleanup(p.Close)
@@ -210,3 +210,26 @@
 		So(slow, ShouldBeLessThanOrEqualTo, 1)
 	})
 }
+
+func TestColdTarget(t *testing.T) {
+	// Guards against requests that are refused because the cold one of two
+	// targets has no turn left, and against requests beyond its limit.
+	const rate, allowance, requests = 2.0, 1.0, 60
+	w := newWorld(t, 0, ok, ok)
+	tr := w.sender.settings.Tracker
+	tr.SetTable(router.New(1, nil, []router.Service{{Name: service, Connections: 8, ColdRate: rate}}, router.Limits{}, nil))
+	cold := *tr.Replicas(service)[0].Entry()
+	cold.ColdFor = time.Minute
+	tr.Update([]tracker.Entry{cold, *tr.Replicas(service)[1].Entry()}, tracker.Sight{})
+	begun := time.Now()
+	Convey("All requests are answered, and the cold target gets no more than its limit", t, func() {
+		for range requests {
+			So(w.send(true, 2, time.Second).OK, ShouldBeTrue)
+		}
+		So(w.received(), ShouldEqual, requests)
+		var n int
+		_, err := fmt.Sscanf(cold.ID, "t-%d", &n)
+		So(err, ShouldBeNil)
+		So(w.runs[n].Load(), ShouldBeLessThanOrEqualTo, int64(1+rate*time.Since(begun).Seconds()+allowance))
+	})
+}
--- /dev/null
+++ b/tracker/cold.go
@@ -0,0 +1,41 @@
+package tracker
+
+import (
+	"time"
+
+	"golang.org/x/time/rate"
+)
+
+// startCold notes that a target is cold for so long.
+func (t *Tracker) startCold(r *Replica, coldFor time.Duration, now time.Time) {
+	if coldFor > 0 {
+		r.setCold(now.Add(coldFor))
+		t.limitCold(r, now)
+	}
+}
+
+// limitCold works out what a cold target may get from this instance. Targets of
+// a service without a rate are not limited.
+func (t *Tracker) limitCold(r *Replica, now time.Time) {
+	if t.table == nil || !r.isCold(now) {
+		return
+	}
+	s, ok := t.table.Service(r.Entry().Service)
+	if !ok || s.ColdRate <= 0 {
+		r.unlimit()
+		return
+	}
+	spare := s.ColdRate*(t.settings.ColdFactor-1) + t.settings.ColdAllowance
+	part, burst := t.settings.ColdPart(r.Entry().ID, spare), 0
+	if part > 0 {
+		burst = max(int(spare*part), 1)
+	}
+	r.limitCold(rate.Limit(s.ColdRate*part), burst, now)
+}
+
+func (t *Tracker) limitAllCold() {
+	now := t.settings.Clock.Now()
+	for _, r := range t.replicas {
+		t.limitCold(r, now)
+	}
+}
--- a/tracker/replica.go
+++ b/tracker/replica.go
@@ -121,17 +121,19 @@
 	return o
 }
 
-// setCold starts the limit of a cold target: a rate, and a number of requests
-// at once. The first request waits for its turn, so that many instances with
-// small shares do not send at the same moment.
-func (r *Replica) setCold(until time.Time, limit rate.Limit, burst int, now time.Time) {
+// setCold records until when the target is cold.
+func (r *Replica) setCold(until time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.coldUntil = until
-	if limit <= 0 {
-		r.cold = nil
-		return
-	}
+}
+
+// limitCold limits what the target gets while it is cold: a rate, and a number
+// of requests at once. The first request waits for its turn, so that many
+// instances with small shares do not send at the same moment.
+func (r *Replica) limitCold(limit rate.Limit, burst int, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	if r.cold == nil {
 		r.cold = rate.NewLimiter(limit, burst)
 		if burst == 1 {
@@ -143,13 +145,33 @@
 	r.cold.SetBurstAt(now, burst)
 }
 
+// unlimit lifts the limit of a cold target.
+func (r *Replica) unlimit() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.cold = nil
+}
+
+// isCold reports whether the target is still cold.
+func (r *Replica) isCold(now time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return now.Before(r.coldUntil)
+}
+
+// Admissible reports whether Admit would admit a request.
+func (r *Replica) Admissible(now time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return !r.limited(now) || r.cold.TokensAt(now) >= 1
+}
+
 // Admit reports whether the target may get one more request now, which then
 // counts against its limit while it is cold.
 func (r *Replica) Admit(now time.Time) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.cold == nil || !now.Before(r.coldUntil) {
-		return true
-	}
-	return r.cold.AllowN(now, 1)
+	return !r.limited(now) || r.cold.AllowN(now, 1)
 }
+
+func (r *Replica) limited(now time.Time) bool { return r.cold != nil && now.Before(r.coldUntil) }
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -10,7 +10,6 @@
 	"time"
 
 	"go.uber.org/zap"
-	"golang.org/x/time/rate"
 
 	"jujubegate.example/jujubegate"
 	"jujubegate.example/jujubegate/balancer"
@@ -34,6 +33,9 @@
 	// ColdFactor and ColdAllowance bound what cold targets get in a second:
 	// the rate times the factor, plus the allowance.
 	ColdFactor, ColdAllowance float64
+	// ColdPart returns this instance's part of what a cold target may get, of
+	// which spare is the number of requests beyond its rate.
+	ColdPart func(target string, spare float64) float64
 }
 
 // Tracker keeps the targets. It is safe for concurrent use.
@@ -83,6 +85,7 @@
 	defer t.mu.Unlock()
 	t.table = table
 	t.bound()
+	t.limitAllCold()
 	t.publish()
 }
 
@@ -104,6 +107,7 @@
 		t.share = share
 		t.bound()
 	}
+	t.limitAllCold()
 }
 
 // Update replaces the list of targets.
@@ -176,7 +180,7 @@
 		t.settings.Log.Info("tracker: target added", zap.String("Target", e.ID), zap.String("Address", string(e.Address)),
 			zap.String("Service", string(e.Service)), zap.String("DataCentre", string(e.DataCentre)),
 			zap.String("Version", string(e.Version)), zap.Bool("Draining", e.Draining), zap.Duration("ColdFor", e.ColdFor))
-		t.startCold(r, e, now)
+		t.startCold(r, e.ColdFor, now)
 		return
 	}
 	old := *r.Entry()
@@ -190,24 +194,10 @@
 			zap.String("Service", string(e.Service)), zap.Bool("Draining", e.Draining))
 	}
 	if old.ColdFor != e.ColdFor {
-		t.startCold(r, e, now)
+		t.startCold(r, e.ColdFor, now)
 	}
 }
 
-func (t *Tracker) startCold(r *Replica, e Entry, now time.Time) {
-	if e.ColdFor <= 0 {
-		return
-	}
-	var perSecond float64
-	if t.table != nil {
-		if s, ok := t.table.Service(e.Service); ok {
-			perSecond = s.ColdRate
-		}
-	}
-	spare := perSecond*(t.settings.ColdFactor-1) + t.settings.ColdAllowance
-	r.setCold(now.Add(e.ColdFor), rate.Limit(perSecond*t.share), max(int(spare*t.share), 1), now)
-}
-
 func (t *Tracker) remove(id string, r *Replica, why string) {
 	delete(t.replicas, id)
 	r.Pool.Close()
--- a/tracker/tracker_test.go
+++ b/tracker/tracker_test.go
@@ -18,8 +18,9 @@
 const drainTime = 3 * time.Second
 
 func newTracker(clock jujubegate.Clock) *Tracker {
-	t := New(Settings{
-		Clock: clock, Log: zap.NewNop(), Drain: drainTime, ColdFactor: 1.5, ColdAllowance: 5,
+	var t *Tracker
+	t = New(Settings{
+		Clock: clock, ColdPart: func(string, float64) float64 { return t.share }, Log: zap.NewNop(), Drain: drainTime, ColdFactor: 1.5, ColdAllowance: 5,
 		NewPool: func(e Entry, bound int) *connector.Pool {
 			return connector.New(connector.Settings{Target: e.Address, TargetID: e.ID, Names: &connector.Names{}, Clock: clock}, bound)
 		},
