Refuse queries that find too few turns at cold targets

Cause: a query started on all shards although so many had only cold targets without a turn that its floor could not be reached. It failed with 502, and the turns that it had used elsewhere were lost to the next query.

Ruled out: waiting for the turn within the query (turns of different shards come seconds apart under load).

Change: the sender tells the wait for a turn apart from that for a slot; the gatherer counts shards without a turn as overloaded and says when the next one comes.

--- a/gatherer/gatherer.go
+++ b/gatherer/gatherer.go
@@ -32,8 +32,8 @@
 	Clock jujubegate.Clock
 	// Send asks one shard.
 	Send func(ctx context.Context, c sender.Call) sender.Outcome
-	// Wait returns how long a request to a shard would wait for a slot.
-	Wait func(route *router.Route, shard jujubegate.Service) time.Duration
+	// Wait returns how long a request to a shard would wait.
+	Wait func(route *router.Route, shard jujubegate.Service) sender.Wait
 }
 
 // Gatherer answers queries over many shards. It is safe for concurrent use.
@@ -149,18 +149,19 @@
 }
 
 // overload returns how long a query had better wait because so many shards are
-// overloaded that the others miss the floor; 0 if it can start. Work on it
-// would only delay the queries that the targets already have.
+// overloaded or have only cold targets without a turn that the others miss the
+// floor; 0 if it can start. Work on it would only delay the queries that the
+// targets already have, and use up the turns of the next one.
 func (g *Gatherer) overload(route *router.Route) time.Duration {
 	limit := time.Duration(maxWait * float64(route.Objective))
 	allowed := len(route.Gather.Shards) - leastOf(route.Gather)
 	var longest time.Duration
 	for _, shard := range route.Gather.Shards {
 		wait := g.settings.Wait(route, shard)
-		if wait <= limit {
+		if wait.Slot <= limit && wait.Turn <= 0 {
 			continue
 		}
-		longest = max(longest, wait)
+		longest = max(longest, wait.Total())
 		if allowed--; allowed < 0 {
 			return longest
 		}
--- a/gatherer/gatherer_test.go
+++ b/gatherer/gatherer_test.go
@@ -76,21 +76,23 @@
 	cases := []struct {
 		name  string
 		plans []shardPlan
-		wait  time.Duration
+		wait  sender.Wait
 		ok    bool
 		in    int
 		// took is the latest time of the answer.
 		took time.Duration
 		ran  jujubegate.Outcome
 	}{
-		{"all in time", plan(10 * ms), 0, true, 10, 12 * ms, jujubegate.Ran},
-		{"one straggler", with(plan(10*ms), late, 3), 0, true, 9, 100*ms - ReplyReserve, jujubegate.Ran},
-		{"one failed", with(plan(10*ms), failed, 3), 0, true, 9, 12 * ms, jujubegate.Ran},
-		{"below the floor at the objective, then above", with(plan(10*ms), shardPlan{after: 120 * ms, status: 200}, 1, 2, 3), 0, true, 10, 122 * ms, jujubegate.Ran},
-		{"late wait ends", with(with(plan(10*ms), shardPlan{after: 110 * ms, status: 200}, 1, 2), late, 3), 0, true, 9, 140 * ms, jujubegate.Ran},
-		{"floor out of reach", with(plan(50*ms), failed, 1, 2, 3), 0, false, 0, 7 * ms, jujubegate.Unknown},
-		{"nothing ran", with(plan(10*ms), shed, 0, 1, 2, 3, 4, 5, 6, 7, 8, 9), 0, false, 0, 4 * ms, jujubegate.NotRun},
-		{"overloaded", plan(10 * ms), 80 * ms, false, 0, ms, jujubegate.NotRun},
+		{"all in time", plan(10 * ms), sender.Wait{}, true, 10, 12 * ms, jujubegate.Ran},
+		{"one straggler", with(plan(10*ms), late, 3), sender.Wait{}, true, 9, 100*ms - ReplyReserve, jujubegate.Ran},
+		{"one failed", with(plan(10*ms), failed, 3), sender.Wait{}, true, 9, 12 * ms, jujubegate.Ran},
+		{"below the floor at the objective, then above", with(plan(10*ms), shardPlan{after: 120 * ms, status: 200}, 1, 2, 3), sender.Wait{}, true, 10, 122 * ms, jujubegate.Ran},
+		{"late wait ends", with(with(plan(10*ms), shardPlan{after: 110 * ms, status: 200}, 1, 2), late, 3), sender.Wait{}, true, 9, 140 * ms, jujubegate.Ran},
+		{"floor out of reach", with(plan(50*ms), failed, 1, 2, 3), sender.Wait{}, false, 0, 7 * ms, jujubegate.Unknown},
+		{"nothing ran", with(plan(10*ms), shed, 0, 1, 2, 3, 4, 5, 6, 7, 8, 9), sender.Wait{}, false, 0, 4 * ms, jujubegate.NotRun},
+		{"overloaded", plan(10 * ms), sender.Wait{Slot: 80 * ms}, false, 0, ms, jujubegate.NotRun},
+		{"short queues", plan(10 * ms), sender.Wait{Slot: 50 * ms}, true, 10, 12 * ms, jujubegate.Ran},
+		{"cold targets without a turn", plan(10 * ms), sender.Wait{Turn: 20 * ms}, false, 0, ms, jujubegate.NotRun},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
@@ -114,7 +116,7 @@
 						Status: p.status, Signature: "s" + string(call.Service), Body: make([]byte, RecordBytes),
 					}}
 				}
-				g := New(Settings{Clock: clock, Send: send, Wait: func(*router.Route, jujubegate.Service) time.Duration { return c.wait }})
+				g := New(Settings{Clock: clock, Send: send, Wait: func(*router.Route, jujubegate.Service) sender.Wait { return c.wait }})
 				route := &router.Route{Objective: 100 * ms, Gather: &router.Gather{Shards: shards, Top: 5, Floor: 0.8}}
 				begun := time.Now()
 				r := g.Gather(t.Context(), Query{Request: &connector.Request{}, Route: route, Arrival: begun})
@@ -122,9 +124,12 @@
 				if r.OK != c.ok || len(r.Signatures) != c.in && c.ok || took > c.took {
 					t.Errorf("ok %v with %d shards after %v (%s), want %v with %d by %v", r.OK, len(r.Signatures), took, r.Reason, c.ok, c.in, c.took)
 				}
-				if len(r.Signatures)+len(r.Missing) != len(shards) && c.wait == 0 {
+				if len(r.Signatures)+len(r.Missing) != len(shards) && r.RetryAfter == 0 {
 					t.Errorf("%d in and %d missing of %d", len(r.Signatures), len(r.Missing), len(shards))
 				}
+				if !r.OK && r.RetryAfter != c.wait.Total() {
+					t.Errorf("retry after %v, want %v", r.RetryAfter, c.wait.Total())
+				}
 				if r.Ran != c.ran {
 					t.Errorf("ran %v, want %v", r.Ran, c.ran)
 				}
--- a/sender/sender.go
+++ b/sender/sender.go
@@ -113,19 +113,30 @@
 	return l
 }
 
-// Wait returns how long a request to the service would wait for a slot at its
-// least loaded target, as far as the targets told a moment ago.
-func (s *Sender) Wait(route *router.Route, service jujubegate.Service) time.Duration {
+// Wait is how long a request to a service would wait at the target that takes it
+// first.
+type Wait struct {
+	// Slot is the time in the queue of the target, Turn that until a cold target
+	// may get one more request.
+	Slot, Turn time.Duration
+}
+
+// Total returns the whole time.
+func (w Wait) Total() time.Duration { return w.Slot + w.Turn }
+
+// Wait returns how long a request to the service would wait, as far as the
+// targets told a moment ago.
+func (s *Sender) Wait(route *router.Route, service jujubegate.Service) Wait {
 	now := s.settings.Clock.Now()
 	typical := s.Latency(route.Name).Typical()
-	least := time.Duration(-1)
-	for _, replica := range s.settings.Tracker.Replicas(service) {
-		wait := time.Duration(replica.Queue(now, loadFresh) * float64(typical))
-		if least < 0 || wait < least {
+	var least Wait
+	for i, replica := range s.settings.Tracker.Replicas(service) {
+		wait := Wait{Slot: time.Duration(replica.Queue(now, loadFresh) * float64(typical)), Turn: replica.Turn(now)}
+		if i == 0 || wait.Total() < least.Total() {
 			least = wait
 		}
 	}
-	return max(least, 0)
+	return least
 }
 
 // Send sends the call and waits for its outcome. The end of the context ends
--- a/tracker/replica.go
+++ b/tracker/replica.go
@@ -160,10 +160,24 @@
 }
 
 // Admissible reports whether Admit would admit a request.
-func (r *Replica) Admissible(now time.Time) bool {
+func (r *Replica) Admissible(now time.Time) bool { return r.Turn(now) <= 0 }
+
+// Turn returns how long a request would wait until Admit admits it.
+func (r *Replica) Turn(now time.Time) time.Duration {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return !r.limited(now) || r.cold.TokensAt(now) >= 1
+	if !r.limited(now) {
+		return 0
+	}
+	cold := r.coldUntil.Sub(now)
+	missing, perSecond := 1-r.cold.TokensAt(now), float64(r.cold.Limit())
+	switch {
+	case missing <= 0:
+		return 0
+	case perSecond <= 0 || r.cold.Burst() == 0:
+		return cold
+	}
+	return min(time.Duration(missing/perSecond*float64(time.Second)), cold)
 }
 
 // Admit reports whether the target may get one more request now, which then
