Watch one kind for all: the revision of the store tells when to read the others

Cause: each of the four kinds was watched on its own, 3.7 calls a second while nothing changed, and each call is paid.

Ruled out: longer watches (a silent one missed a change for 8 s), stale reads (seconds old).

Change: a Reader watches the configuration for 700 ms at a time. Where the revision of the store has risen, it reads the targets, then the data centres out of service and the moves at most once a second; where it has not, all kinds are confirmed without a call. One instance reads for all kinds, and loses its turn if any of them cannot be read. Moves count from the time at which they can have been ordered, and a good version is completed 0.9 s before the deadline, since TestMovesOfVersions saw one that missed it; the first share is 5%, so that the sum before the deadline stays below the bound.

TestReader is new.

--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -27,14 +27,11 @@
 )
 
 const (
-	// targetsPause is the time in which changes of targets are collected before
-	// the next paid watch. It is well below the time that a target which leaves
-	// goes on serving.
-	targetsPause = 400 * time.Millisecond
-	// outPause likewise for data centres that are taken out.
-	outPause = 800 * time.Millisecond
+	// outPause is the time in which changes of data centres that are taken out
+	// are collected before the next paid call.
+	outPause = time.Second
 	// movesPause likewise for moves to versions, whose first share is small.
-	movesPause = 800 * time.Millisecond
+	movesPause = time.Second
 	// configurationStale is the age from which on the configuration may be old,
 	// so that a route which it lacks may exist.
 	configurationStale = 2500 * time.Millisecond
@@ -62,6 +59,7 @@
 	targets    *replicator.Replicator
 	out        *replicator.Replicator
 	moves      *replicator.Replicator
+	reader     *replicator.Reader
 	promoter   *promoter.Promoter
 	decoded    map[string]decodedTarget
 	division   atomic.Pointer[division]
@@ -99,9 +97,12 @@
 		ColdPart: c.coldPart,
 	})
 	c.config = c.follow(adapter.Kinds.Configuration, 0, c.configure)
-	c.targets = c.follow(adapter.Kinds.Targets, targetsPause, c.retarget)
+	c.targets = c.follow(adapter.Kinds.Targets, 0, c.retarget)
 	c.out = c.follow(adapter.Kinds.OutOfService, outPause, c.takeOut)
 	c.moves = c.follow(adapter.Kinds.Moves, movesPause, c.move)
+	c.reader = replicator.NewReader(clock, func() time.Duration {
+		return c.gossiper.Turn(adapter.Kinds.Configuration, c.reader.Complete())
+	}, c.config, c.targets, c.out, c.moves)
 	c.promoter = promoter.New(promoter.Settings{
 		Clock: clock, Log: log, Write: c.writeState,
 		Rank:   func() int { return c.gossiper.Rank(adapter.Kinds.Moves) },
@@ -134,10 +135,8 @@
 }
 
 func (c *Conductor) follow(kind string, pause time.Duration, changed func(*replicator.State)) *replicator.Replicator {
-	var r *replicator.Replicator
-	r = replicator.New(replicator.Settings{
+	return replicator.New(replicator.Settings{
 		Kind: kind, Source: c.adapter.Source, Clock: c.clock, Log: c.log, Pause: pause,
-		Turn: func() time.Duration { return c.gossiper.Turn(r) },
 		Changed: func(s *replicator.State) {
 			served := c.serving()
 			changed(s)
@@ -147,7 +146,6 @@
 			}
 		},
 	})
-	return r
 }
 
 // instances returns the number of instances that live, with this one.
@@ -234,9 +232,7 @@
 	for _, s := range servers {
 		go func() { failed <- s.server.Serve(s.listener) }()
 	}
-	for _, r := range []*replicator.Replicator{c.config, c.targets, c.out, c.moves} {
-		go r.Run(background)
-	}
+	go c.reader.Run(background)
 	go c.gossiper.Run(background)
 	go c.tracker.Run(background)
 	go c.register(background)
--- a/conductor/moves.go
+++ b/conductor/moves.go
@@ -24,7 +24,7 @@
 		}
 		moves = append(moves, m)
 	}
-	c.promoter.Update(moves)
+	c.promoter.Update(moves, s.SeenAt)
 }
 
 // writeState writes how far a move is.
--- a/gossiper/gossiper_test.go
+++ b/gossiper/gossiper_test.go
@@ -35,7 +35,7 @@
 	clock, log := clockwork.NewRealClock(), zap.NewNop()
 	m := &member{}
 	m.replicator = replicator.New(replicator.Settings{
-		Kind: "k", Clock: clock, Log: log, Turn: func() time.Duration { return time.Hour }, Changed: func(*replicator.State) {},
+		Kind: "k", Clock: clock, Log: log, Changed: func(*replicator.State) {},
 	})
 	transport := &http.Transport{}
 	m.Gossiper = New(Settings{
--- a/gossiper/turn.go
+++ b/gossiper/turn.go
@@ -5,8 +5,6 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
-
-	"jujubegate.example/jujubegate/replicator"
 )
 
 const (
@@ -25,10 +23,11 @@
 
 // Turn returns the age of the newest confirmation of a kind from which on this
 // instance reads the store itself: at once for the first in rank, so that one
-// instance reads for all while nothing fails.
-func (g *Gossiper) Turn(r *replicator.Replicator) time.Duration {
-	rank, others := g.rank(r.Kind())
-	if r.State() == nil {
+// instance reads for all while nothing fails. Without all states it waits only
+// for what peers hold.
+func (g *Gossiper) Turn(kind string, complete bool) time.Duration {
+	rank, others := g.rank(kind)
+	if !complete {
 		return firstRead + time.Duration(rank)*firstReadStep
 	}
 	if rank == 0 {
--- a/promoter/promoter.go
+++ b/promoter/promoter.go
@@ -15,12 +15,16 @@
 const (
 	// canaryShare is the part of the requests that a new version gets until it
 	// is found good. A bad one may get a tenth.
-	canaryShare = 0.06
+	canaryShare = 0.05
 	// completeAt is the part of the duration after which a version without a
 	// fault is found good. A fault can show late, and until the deadline a bad
 	// version may get a tenth of all requests, so little time is left to all of
 	// the traffic.
 	completeAt = 0.95
+	// completeReserve is the least time before the deadline at which a version is
+	// found good: a review and the writing of the state by the first or by
+	// the next in rank.
+	completeReserve = 900 * time.Millisecond
 	// reviewPeriod is the time between two looks at the evidence.
 	reviewPeriod = 300 * time.Millisecond
 	// rankDelay separates the instances that write a state, in order of rank.
@@ -77,7 +81,8 @@
 // move is a move with what this instance decided.
 type move struct {
 	Move
-	seenAt time.Time
+	// orderedAt is when the move was ordered at the earliest.
+	orderedAt time.Time
 	// decided is the state that the evidence calls for, since decidedAt.
 	decided   State
 	decidedAt time.Time
@@ -88,9 +93,9 @@
 	return &Promoter{settings: settings, moves: make(map[jujubegate.Service]*move), evidence: newEvidence()}
 }
 
-// Update replaces the moves that the store holds.
-func (p *Promoter) Update(moves []Move) {
-	now := p.settings.Clock.Now()
+// Update replaces the moves that the store holds. New ones were ordered after
+// the time at the earliest.
+func (p *Promoter) Update(moves []Move, since time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	listed := make(map[jujubegate.Service]struct{}, len(moves))
@@ -98,7 +103,7 @@
 		listed[next.Service] = struct{}{}
 		m := p.moves[next.Service]
 		if m == nil || m.Version != next.Version {
-			m = &move{seenAt: now}
+			m = &move{orderedAt: since}
 			p.moves[next.Service] = m
 			p.evidence.forget(next.Service)
 			p.settings.Log.Info("promoter: move ordered", zap.String("Service", string(next.Service)),
@@ -185,7 +190,7 @@
 		}
 		decidedAt := m.decidedAt
 		if m.decided == Running {
-			decidedAt = m.seenAt
+			decidedAt = m.orderedAt
 		}
 		if (m.decided != Running || !m.Written) && now.Sub(decidedAt) >= delay {
 			due = append(due, *m)
@@ -204,14 +209,20 @@
 	case why != "":
 		m.decided, m.decidedAt = RolledBack, now
 		p.settings.Log.Warn("promoter: version is bad", zap.String("Service", string(m.Service)),
-			zap.String("Version", string(m.Version)), zap.String("Why", why), zap.Duration("After", now.Sub(m.seenAt)))
-	case now.Sub(m.seenAt) >= time.Duration(completeAt*float64(m.Duration)):
+			zap.String("Version", string(m.Version)), zap.String("Why", why), zap.Duration("After", now.Sub(m.orderedAt)))
+	case now.Sub(m.orderedAt) >= m.goodAfter():
 		m.decided, m.decidedAt = Completed, now
 		p.settings.Log.Info("promoter: version is good", zap.String("Service", string(m.Service)),
-			zap.String("Version", string(m.Version)), zap.Duration("After", now.Sub(m.seenAt)))
+			zap.String("Version", string(m.Version)), zap.Duration("After", now.Sub(m.orderedAt)))
 	}
 }
 
+// goodAfter returns the time after the order at which a version without a fault
+// is found good.
+func (m *move) goodAfter() time.Duration {
+	return min(time.Duration(completeAt*float64(m.Duration)), m.Duration-completeReserve)
+}
+
 func (p *Promoter) write(ctx context.Context, m move) {
 	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
 	defer cancel()
--- a/promoter/promoter_test.go
+++ b/promoter/promoter_test.go
@@ -69,11 +69,14 @@
 		// badFrom is when the version starts to fail, with the share.
 		badFrom time.Duration
 		share   float64
-		want    State
+		// heardAfter is how late the order is read.
+		heardAfter time.Duration
+		want       State
 	}{
-		{"good", 0, 0, Completed},
-		{"bad at once", 0, 0.3, RolledBack},
-		{"bad later", 6 * time.Second, 0.4, RolledBack},
+		{"good", 0, 0, 0, Completed},
+		{"good, order read late", 0, 0, 2 * time.Second, Completed},
+		{"bad at once", 0, 0.3, 0, RolledBack},
+		{"bad later", 6 * time.Second, 0.4, 0, RolledBack},
 	}
 	for _, c := range cases {
 		for seed := range uint64(20) {
@@ -84,11 +87,12 @@
 					var p *Promoter
 					done := make(chan struct{})
 					order := Move{Name: "s", Service: "s", Version: "v2", Duration: 12 * time.Second}
+					begun := time.Now()
 					p = New(Settings{
 						Clock: clockwork.NewRealClock(), Log: zap.NewNop(), Rank: func() int { return 0 },
 						Write: func(_ context.Context, m Move, s State) error {
 							m.State, m.Written = s, true
-							p.Update([]Move{m})
+							p.Update([]Move{m}, begun)
 							if s != Running {
 								written = s
 								close(done)
@@ -98,8 +102,8 @@
 					})
 					ctx, stop := context.WithCancel(t.Context())
 					ended := make(chan struct{})
-					begun := time.Now()
-					p.Update([]Move{order})
+					time.Sleep(c.heardAfter)
+					p.Update([]Move{order}, begun)
 					go func() { p.Run(ctx); close(ended) }()
 					candidate, all := 0, 0
 					for time.Since(begun) < order.Duration {
--- /dev/null
+++ b/replicator/reader_test.go
@@ -0,0 +1,152 @@
+package replicator
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"jujubegate.example/jujubegate/storer"
+)
+
+// fakeStore holds the newest revision of each kind under one counter.
+type fakeStore struct {
+	mu       sync.Mutex
+	revision int64
+	changed  map[string]int64
+	calls    map[string]int
+	down     map[string]bool
+}
+
+func newFakeStore() *fakeStore {
+	return &fakeStore{revision: 10, changed: make(map[string]int64), calls: make(map[string]int), down: make(map[string]bool)}
+}
+
+func (f *fakeStore) change(kind string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.revision++
+	f.changed[kind] = f.revision
+}
+
+func (f *fakeStore) setDown(kind string, down bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.down[kind] = down
+}
+
+// called returns the calls for a kind since the last question.
+func (f *fakeStore) called(kind string) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n := f.calls[kind]
+	f.calls[kind] = 0
+	return n
+}
+
+func (f *fakeStore) source() Source {
+	enter := func(kind string) error {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.calls[kind]++
+		if f.down[kind] {
+			return storer.ErrUnavailable
+		}
+		return nil
+	}
+	return Source{
+		List: func(_ context.Context, kind string) (Listing, error) {
+			if err := enter(kind); err != nil {
+				return Listing{}, err
+			}
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			return Listing{Revision: f.revision, Objects: []Object{{Name: "a", Revision: f.changed[kind]}}}, nil
+		},
+		Watch: func(ctx context.Context, kind string, after int64, wait time.Duration) (Changes, error) {
+			if err := enter(kind); err != nil {
+				return Changes{}, err
+			}
+			for begun := time.Now(); ; time.Sleep(time.Millisecond) {
+				f.mu.Lock()
+				c, changed := Changes{Revision: f.revision}, f.changed[kind]
+				f.mu.Unlock()
+				if changed > after {
+					c.Changes = []Change{{Object: Object{Name: "a", Revision: changed}}}
+					return c, nil
+				}
+				if time.Since(begun) >= wait || ctx.Err() != nil {
+					return c, nil
+				}
+			}
+		},
+	}
+}
+
+func TestReader(t *testing.T) {
+	// Guards against paid calls for kinds that have not changed, against changes
+	// that nobody reads, and against a reader that keeps its turn although it
+	// cannot read one of the kinds.
+	const second = time.Second
+	synctest.Test(t, func(t *testing.T) {
+		store := newFakeStore()
+		lead, follower, paused := newReplicator(store.source()), newReplicator(store.source()), newReplicator(store.source())
+		lead.settings.Kind, follower.settings.Kind, paused.settings.Kind = "lead", "follower", "paused"
+		paused.settings.Pause = second
+		reader := NewReader(lead.settings.Clock, func() time.Duration { return 0 }, lead, follower, paused)
+		ctx, stop := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() {
+			reader.Run(ctx)
+			close(done)
+		}()
+		time.Sleep(second)
+		if !reader.Complete() {
+			t.Fatal("a kind has no state after 1 s")
+		}
+		for _, kind := range []string{"lead", "follower", "paused"} {
+			store.called(kind)
+		}
+		time.Sleep(7 * second)
+		if l, f, p := store.called("lead"), store.called("follower"), store.called("paused"); l > 10 || f+p > 0 {
+			t.Errorf("%d calls for the lead and %d and %d for the others in 7 s without a change, want 10 and none", l, f, p)
+		}
+		if follower.Age() > second || paused.Age() > second {
+			t.Errorf("the others were confirmed %v and %v ago, want 1 s at most", follower.Age(), paused.Age())
+		}
+		for range 20 {
+			store.change("follower")
+			store.change("paused")
+			time.Sleep(watchWait + 10*time.Millisecond)
+			if follower.Revision() < store.changed["follower"] {
+				t.Fatalf("the change of the follower is not read after %v", watchWait)
+			}
+		}
+		if n := store.called("paused"); n > 15 {
+			t.Errorf("%d calls in 14 s for a kind with a pause of 1 s", n)
+		}
+		time.Sleep(2 * second)
+		if paused.Revision() < store.changed["paused"] {
+			t.Error("the last change of the kind with a pause is not read")
+		}
+		store.change("lead")
+		time.Sleep(10 * time.Millisecond)
+		if lead.Revision() < store.changed["lead"] {
+			t.Error("the change of the lead is not read at once")
+		}
+		store.setDown("follower", true)
+		store.change("follower")
+		time.Sleep(second)
+		if !lead.Failing() {
+			t.Error("the reader does not tell that it cannot read the follower")
+		}
+		store.setDown("follower", false)
+		time.Sleep(3 * second)
+		if lead.Failing() || follower.Revision() < store.changed["follower"] {
+			t.Error("the reader did not recover")
+		}
+		stop()
+		<-done
+	})
+}
--- a/replicator/replicator.go
+++ b/replicator/replicator.go
@@ -6,7 +6,6 @@
 	"context"
 	"errors"
 	"maps"
-	"math/rand/v2"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -18,15 +17,6 @@
 )
 
 const (
-	// watchWait is how long a watch waits. A watch can miss changes without an
-	// error, which the next one finds out.
-	watchWait = 700 * time.Millisecond
-	// minBackoff and maxBackoff bound the pause after a failed call.
-	minBackoff = 100 * time.Millisecond
-	maxBackoff = time.Second
-	// turnCheck is the time between two looks whether it is this instance's
-	// turn to read.
-	turnCheck = 250 * time.Millisecond
 	// gapLimit is the time between two confirmations from which on the store
 	// may have been away: a watch, its pause and a round of gossip take less.
 	gapLimit = 1500 * time.Millisecond
@@ -43,12 +33,9 @@
 	Source Source
 	Clock  jujubegate.Clock
 	Log    *zap.Logger
-	// Pause is the time between two watches, in which changes are collected:
-	// each watch is one paid call.
+	// Pause is the least time between two reads, in which changes are collected:
+	// each read is one paid call.
 	Pause time.Duration
-	// Turn returns the age of the newest confirmation from which on this
-	// instance reads the store itself.
-	Turn func() time.Duration
 	// Changed is called with each new state, one at a time.
 	Changed func(*State)
 }
@@ -90,6 +77,7 @@
 	since   int64
 	// cursor is the revision up to which the state is known to be unchanged.
 	cursor int64
+	readAt time.Time
 }
 
 // step is the changes between two revisions of the history.
@@ -128,62 +116,12 @@
 // Failing reports whether this instance's last call to the store failed.
 func (r *Replicator) Failing() bool { return r.failing.Load() }
 
-// Confirm notes that a peer which holds the same revision confirmed it so long
-// ago.
-func (r *Replicator) Confirm(revision int64, age time.Duration) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.state.Load() != nil && revision == r.Revision() {
-		r.confirm(r.settings.Clock.Now().Add(-age))
-	}
-}
-
-func (r *Replicator) confirm(at time.Time) {
-	if !at.After(r.confirmedAt) {
-		return
-	}
-	if length := at.Sub(r.confirmedAt); length > gapLimit {
-		r.gap = Gap{Length: length, EndedAt: r.settings.Clock.Now()}
-	}
-	r.confirmedAt = at
-}
-
-// recentGap returns the newest gap, or none if that is long over.
-func (r *Replicator) recentGap() Gap {
-	if r.settings.Clock.Now().Sub(r.gap.EndedAt) >= gapFor {
-		return Gap{}
-	}
-	return r.gap
-}
-
-// Run reads the store whenever it is this instance's turn, until the context ends.
-func (r *Replicator) Run(ctx context.Context) {
-	backoff := minBackoff
-	for ctx.Err() == nil {
-		if due := r.settings.Turn() - r.Age(); due > 0 {
-			r.sleep(ctx, min(due, turnCheck))
-			continue
-		}
-		err := r.read(ctx)
-		switch {
-		case err == nil:
-			r.recovered()
-			backoff = minBackoff
-			r.sleep(ctx, r.settings.Pause)
-		case ctx.Err() != nil:
-			return
-		default:
-			r.failed(err)
-			r.sleep(ctx, backoff/2+rand.N(backoff))
-			backoff = min(2*backoff, maxBackoff)
-		}
-	}
-}
-
-// read makes one paid call: a watch, or a listing if the history is gone.
-func (r *Replicator) read(ctx context.Context) error {
+// read makes one paid call: a watch that waits so long for changes, or a listing
+// if there is no state yet or the history is gone.
+func (r *Replicator) read(ctx context.Context, wait time.Duration) error {
+	defer r.noteRead()
 	if revision := r.position(); revision > 0 {
-		c, err := r.settings.Source.Watch(ctx, r.settings.Kind, revision, watchWait)
+		c, err := r.settings.Source.Watch(ctx, r.settings.Kind, revision, wait)
 		if err == nil {
 			r.Apply(revision, c, 0)
 			return nil
@@ -201,21 +139,43 @@
 	return nil
 }
 
-// position is the revision from which a watch goes on.
+func (r *Replicator) noteRead() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.readAt = r.settings.Clock.Now()
+}
+
+// pausing reports whether the kind was read a moment ago.
+func (r *Replicator) pausing() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.state.Load() != nil && r.settings.Clock.Now().Sub(r.readAt) < r.settings.Pause
+}
+
+// position is the revision up to which the state is known; 0 without a state.
 func (r *Replicator) position() int64 {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return max(r.cursor, r.Revision())
+	return r.reached()
 }
 
-func (r *Replicator) sleep(ctx context.Context, d time.Duration) {
-	if d <= 0 {
-		return
+func (r *Replicator) reached() int64 {
+	if r.state.Load() == nil {
+		return 0
 	}
-	select {
-	case <-r.settings.Clock.After(d):
-	case <-ctx.Done():
+	return max(r.cursor, r.Revision())
+}
+
+// confirmAt notes that the store is at a revision. It reports whether the state
+// is the newest one at that revision.
+func (r *Replicator) confirmAt(revision int64) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.state.Load() == nil || r.reached() < revision {
+		return false
 	}
+	r.confirm(r.settings.Clock.Now())
+	return true
 }
 
 func (r *Replicator) failed(err error) {
@@ -231,6 +191,34 @@
 	}
 }
 
+// Confirm notes that a peer which holds the same revision confirmed it so long
+// ago.
+func (r *Replicator) Confirm(revision int64, age time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.state.Load() != nil && revision == r.Revision() {
+		r.confirm(r.settings.Clock.Now().Add(-age))
+	}
+}
+
+func (r *Replicator) confirm(at time.Time) {
+	if !at.After(r.confirmedAt) {
+		return
+	}
+	if length := at.Sub(r.confirmedAt); length > gapLimit {
+		r.gap = Gap{Length: length, EndedAt: r.settings.Clock.Now()}
+	}
+	r.confirmedAt = at
+}
+
+// recentGap returns the newest gap, or none if that is long over.
+func (r *Replicator) recentGap() Gap {
+	if r.settings.Clock.Now().Sub(r.gap.EndedAt) >= gapFor {
+		return Gap{}
+	}
+	return r.gap
+}
+
 // Replace takes over a listing that was confirmed so long ago, unless the state
 // is newer.
 func (r *Replicator) Replace(l Listing, age time.Duration, fromPeer bool) {
--- a/replicator/replicator_test.go
+++ b/replicator/replicator_test.go
@@ -17,10 +17,10 @@
 	"jujubegate.example/jujubegate/storer"
 )
 
-func newReplicator(source Source, turn time.Duration) *Replicator {
+func newReplicator(source Source) *Replicator {
 	return New(Settings{
 		Kind: "k", Source: source, Clock: clockwork.NewRealClock(), Log: zap.NewNop(),
-		Turn: func() time.Duration { return turn }, Changed: func(*State) {},
+		Changed: func(*State) {},
 	})
 }
 
@@ -28,7 +28,7 @@
 	// Guards against an instance that follows changes of a peer and ends up with
 	// other objects, whichever of them it has heard before or hears twice.
 	rapid.Check(t, func(t *rapid.T) {
-		leader, follower := newReplicator(Source{}, 0), newReplicator(Source{}, 0)
+		leader, follower := newReplicator(Source{}), newReplicator(Source{})
 		leader.Replace(Listing{Revision: 1}, 0, false)
 		revision := int64(1)
 		for range rapid.IntRange(1, 40).Draw(t, "steps") {
@@ -65,7 +65,7 @@
 
 func TestNeverOlder(t *testing.T) {
 	// Guards against a state that goes back to an older revision.
-	r := newReplicator(Source{}, 0)
+	r := newReplicator(Source{})
 	r.Replace(Listing{Revision: 10, Objects: []Object{{Name: "a", Revision: 10}}}, 0, false)
 	r.Replace(Listing{Revision: 9}, 0, true)
 	r.Apply(8, Changes{Revision: 9, Changes: []Change{{Object: Object{Name: "a"}, Removed: true}}}, 0)
@@ -87,12 +87,13 @@
 				time.Sleep(wait)
 				return Changes{Revision: after}, nil
 			},
-		}, 2*time.Second)
+		})
+		reader := NewReader(r.settings.Clock, func() time.Duration { return 2 * time.Second }, r)
 		ctx, stop := context.WithCancel(t.Context())
 		r.Replace(Listing{Revision: 5}, 0, true)
 		done := make(chan struct{})
 		go func() {
-			r.Run(ctx)
+			reader.Run(ctx)
 			close(done)
 		}()
 		for range 20 {
@@ -131,12 +132,12 @@
 				}
 				return Changes{Revision: after}, nil
 			},
-		}, 0)
+		})
 		r.settings.Changed = func(s *State) { states <- s }
 		ctx, stop := context.WithCancel(t.Context())
 		done := make(chan struct{})
 		go func() {
-			r.Run(ctx)
+			NewReader(r.settings.Clock, func() time.Duration { return 0 }, r).Run(ctx)
 			close(done)
 		}()
 		<-states
