Let seeds read the store first after a start

Change: an instance that is no seed waits 150 ms for what seeds have read, and asks them every 100 ms while it knows nobody.

--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -22,6 +22,11 @@
 const (
 	// Period is the time between two rounds of exchanges.
 	Period = 500 * time.Millisecond
+	// lonelyPeriod is the same while no other instance is known, as after a start
+	// that was faster than that of the seeds.
+	lonelyPeriod = 100 * time.Millisecond
+	// lonelyRounds bounds the number of such rounds.
+	lonelyRounds = 20
 	// fanOut is the number of peers that one round asks in a large fleet.
 	fanOut = 2
 	// DirectPeers is the number of peers up to which a round asks all of them.
@@ -122,8 +127,12 @@
 		for _, address := range g.partners() {
 			go g.exchange(ctx, address, round%wholeEvery == 0)
 		}
+		period := Period
+		if round <= lonelyRounds && g.Size() == 1 {
+			period = lonelyPeriod
+		}
 		select {
-		case <-g.settings.Clock.After(Period):
+		case <-g.settings.Clock.After(period):
 		case <-g.kick:
 		case <-ctx.Done():
 		}
--- a/gossiper/gossiper_test.go
+++ b/gossiper/gossiper_test.go
@@ -201,3 +201,28 @@
 		}
 	})
 }
+
+func TestFirstReadIsThatOfSeeds(t *testing.T) {
+	// Guards against a fleet that starts as a whole and of which each instance
+	// reads the store, as 60 did with 279 paid calls, and against instances that
+	// wait for seeds that are gone.
+	cases := []struct {
+		name  string
+		self  string
+		seeds []string
+		want  time.Duration
+	}{
+		{"seed", "a:1", []string{"a:1", "b:1"}, firstRead},
+		{"no seeds at all", "a:1", nil, firstRead},
+		{"other instance", "c:1", []string{"a:1", "b:1"}, firstReadOther},
+	}
+	Convey("An instance that knows no peer and has no state", t, func() {
+		for _, c := range cases {
+			Convey(c.name, func() {
+				g := New(Settings{Self: Peer{Instance: "i", PeerAddress: c.self}, Seeds: c.seeds, Clock: clockwork.NewFakeClock(), Log: zap.NewNop()})
+				So(g.Turn("k", false), ShouldEqual, c.want)
+				So(g.Turn("k", true), ShouldEqual, time.Duration(0))
+			})
+		}
+	})
+}
--- a/gossiper/turn.go
+++ b/gossiper/turn.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -16,6 +17,9 @@
 	takeOverStep = 250 * time.Millisecond
 	// firstRead is how long a new instance waits for what peers hold.
 	firstRead = 50 * time.Millisecond
+	// firstReadOther is the same for an instance that is no seed: seeds that start
+	// at the same time read the store and tell the others.
+	firstReadOther = 150 * time.Millisecond
 	// firstReadStep separates new instances by rank, so that in a fleet that
 	// starts as a whole a few read and the others hear from them.
 	firstReadStep = 60 * time.Millisecond
@@ -28,7 +32,11 @@
 func (g *Gossiper) Turn(kind string, complete bool) time.Duration {
 	rank, others := g.rank(kind)
 	if !complete {
-		return firstRead + time.Duration(rank)*firstReadStep
+		wait := firstReadOther
+		if len(g.settings.Seeds) == 0 || slices.Contains(g.settings.Seeds, g.settings.Self.PeerAddress) {
+			wait = firstRead
+		}
+		return wait + time.Duration(rank)*firstReadStep
 	}
 	if rank == 0 {
 		return 0
