Let each pair of instances of a small fleet exchange news once in a round

Cause: in fleets of up to 17 instances all asked all, so that each pair exchanged news twice in 500 ms: 12 exchanges a second for each of 7 instances.

Ruled out: a longer period (the age of confirmations and the time to suspect an instance follow it).

Change: an instance asks the half of the others that comes after it in a ring. A round that begins because of news, a suspicion or a leave asks all.

TestChosenPeers is new.

--- a/gossiper/exchange.go
+++ b/gossiper/exchange.go
@@ -24,7 +24,10 @@
 	}))
 	if err != nil {
 		g.settings.Log.Debug("gossiper: exchange failed", zap.String("Address", address), zap.Error(err))
-		g.update(func(m *members, now time.Time) bool { return m.fail(address, now) })
+		if g.update(func(m *members, now time.Time) bool { return m.fail(address, now) }) {
+			// Those that did not ask it hear of the suspicion at once.
+			g.Kick()
+		}
 		return
 	}
 	if from := answer.Msg.Sender.GetPeerAddress(); from != address {
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -6,6 +6,7 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -29,7 +30,8 @@
 	lonelyRounds = 20
 	// fanOut is the number of peers that one round asks in a large fleet.
 	fanOut = 2
-	// DirectPeers is the number of peers up to which a round asks all of them.
+	// DirectPeers is the number of peers up to which each pair of instances
+	// exchanges news in each round.
 	DirectPeers = 16
 	// exchangeTimeout bounds one exchange.
 	exchangeTimeout = 400 * time.Millisecond
@@ -121,10 +123,11 @@
 
 // Run exchanges news until the context ends.
 func (g *Gossiper) Run(ctx context.Context) {
+	kicked := false
 	for ctx.Err() == nil {
 		round := g.round.Add(1)
 		g.update(func(m *members, now time.Time) bool { return m.review(now) })
-		for _, address := range g.partners() {
+		for _, address := range g.partners(kicked) {
 			go g.exchange(ctx, address, round%wholeEvery == 0)
 		}
 		period := Period
@@ -133,14 +136,17 @@
 		}
 		select {
 		case <-g.settings.Clock.After(period):
+			kicked = false
 		case <-g.kick:
+			kicked = true
 		case <-ctx.Done():
 		}
 	}
 }
 
-// update changes the members, and tells of it if it made a difference.
-func (g *Gossiper) update(change func(*members, time.Time) bool) {
+// update changes the members, and tells of it if it made a difference, which it
+// reports.
+func (g *Gossiper) update(change func(*members, time.Time) bool) bool {
 	g.mu.Lock()
 	changed := change(&g.members, g.settings.Clock.Now())
 	peers := g.members.alive()
@@ -148,6 +154,7 @@
 	if changed {
 		g.settings.Changed(peers)
 	}
+	return changed
 }
 
 // Kick starts the next round at once, since there is news.
@@ -161,7 +168,7 @@
 // Announce tells live peers the state of this instance at once.
 func (g *Gossiper) Announce(ctx context.Context) {
 	var group sync.WaitGroup
-	for _, address := range g.partners() {
+	for _, address := range g.partners(true) {
 		group.Go(func() { g.exchange(ctx, address, false) })
 	}
 	group.Wait()
@@ -175,8 +182,9 @@
 }
 
 // partners returns the peers of the next round: some that live, and one that
-// is suspected, gone or was never heard from.
-func (g *Gossiper) partners() []string {
+// is suspected, gone or was never heard from. With news, all of a small fleet
+// are asked.
+func (g *Gossiper) partners(news bool) []string {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	var live, other []string
@@ -190,16 +198,28 @@
 			live = append(live, r.peering.PeerAddress)
 		}
 	}
-	rand.Shuffle(len(live), func(i, j int) { live[i], live[j] = live[j], live[i] })
 	rand.Shuffle(len(other), func(i, j int) { other[i], other[j] = other[j], other[i] })
 	if len(live) == 0 {
 		return other[:min(len(other), DirectPeers)]
 	}
-	asked := fanOut
-	if len(live) <= DirectPeers {
-		asked = len(live)
+	if !news || len(live) > DirectPeers {
+		live = chosen(g.settings.Self.PeerAddress, live)
 	}
-	return append(live[:min(len(live), asked)], other[:min(len(other), 1)]...)
+	return append(live, other[:min(len(other), 1)]...)
+}
+
+// chosen returns the peers that one of them asks in a round. In a small fleet
+// these are the half that comes after it in a ring, so that each pair exchanges
+// news once, in a large one a few at random.
+func chosen(self string, live []string) []string {
+	if len(live) > DirectPeers {
+		rand.Shuffle(len(live), func(i, j int) { live[i], live[j] = live[j], live[i] })
+		return live[:fanOut]
+	}
+	slices.Sort(live)
+	after, _ := slices.BinarySearch(live, self)
+	ring := append(slices.Clone(live[after:]), live[:after]...)
+	return ring[:(len(live)+1)/2]
 }
 
 // self returns this instance as exchanges tell it.
--- a/gossiper/gossiper_test.go
+++ b/gossiper/gossiper_test.go
@@ -226,3 +226,34 @@
 		}
 	})
 }
+
+func TestChosenPeers(t *testing.T) {
+	// Guards against pairs of a small fleet that never exchange news, and against
+	// rounds in which all ask all, which doubles the traffic.
+	Convey("In a small fleet each pair exchanges news in each round", t, func() {
+		for n := 2; n <= DirectPeers+1; n++ {
+			asked := make(map[[2]int]int)
+			total := 0
+			for self := range n {
+				var live []string
+				for other := range n {
+					if other != self {
+						live = append(live, fmt.Sprintf("10.0.0.%02d:1", other))
+					}
+				}
+				for _, address := range chosen(fmt.Sprintf("10.0.0.%02d:1", self), live) {
+					var other int
+					_, err := fmt.Sscanf(address, "10.0.0.%02d:1", &other)
+					So(err, ShouldBeNil)
+					asked[[2]int{min(self, other), max(self, other)}]++
+					total++
+				}
+			}
+			So(asked, ShouldHaveLength, n*(n-1)/2)
+			So(total, ShouldBeLessThanOrEqualTo, n*(n-1)/2+n)
+		}
+	})
+	Convey("In a large one a few are asked", t, func() {
+		So(chosen("self", make([]string, DirectPeers+1)), ShouldHaveLength, fanOut)
+	})
+}
