Refuse headers beyond the limit of the configuration

Cause: limits.header_bytes was decoded and not enforced; only the fixed 64 KiB of the server were.

Change: the receiver counts the request line and the headers as they are sent, without optional white space, so that no caller within the limit is refused, and answers 431.

--- a/receiver/receiver.go
+++ b/receiver/receiver.go
@@ -132,6 +132,9 @@
 	if v.id == "" {
 		return &refusal{http.StatusBadRequest, jujubegate.BadRequest, "header " + s.Names.RequestID + " is missing", 0}
 	}
+	if limit := v.table.Limits.HeaderBytes; limit > 0 && headerBytes(v.request) > limit {
+		return &refusal{http.StatusRequestHeaderFieldsTooLarge, jujubegate.BadRequest, "the headers exceed " + strconv.Itoa(limit) + " bytes", 0}
+	}
 	uri := requestURI(v.request)
 	path, _, _ := strings.Cut(uri, "?")
 	if v.route = v.table.Match(hostOf(v.request.Host), path); v.route == nil {
@@ -201,6 +204,19 @@
 	return body, nil
 }
 
+// headerBytes returns the size of the request line and the headers as they are
+// sent, without white space that a caller may add.
+func headerBytes(r *http.Request) int {
+	size := len(r.Method) + len(" ") + len(r.RequestURI) + len(" ") + len(r.Proto) + len("\r\n")
+	size += len("Host: ") + len(r.Host) + len("\r\n")
+	for name, values := range r.Header {
+		for _, value := range values {
+			size += len(name) + len(": ") + len(value) + len("\r\n")
+		}
+	}
+	return size
+}
+
 // requestURI returns the path and query as the caller sent them.
 func requestURI(r *http.Request) string {
 	uri := r.RequestURI
--- a/receiver/receiver_test.go
+++ b/receiver/receiver_test.go
@@ -27,7 +27,7 @@
 	return router.New(4, []router.Route{
 		{Name: "order", Host: "h", PathPrefix: "/o/", Timeout: time.Second, Backends: []router.Backend{{Service: "s", Weight: 1}}},
 		{Name: "query", Host: "h", PathPrefix: "/q/", Timeout: time.Second, Idempotent: true, Gather: &router.Gather{Shards: []jujubegate.Service{"a", "b"}}},
-	}, nil, router.Limits{BodyBytes: 10}, nil)
+	}, nil, router.Limits{HeaderBytes: 300, BodyBytes: 10}, nil)
 }
 
 func TestAnswers(t *testing.T) {
@@ -58,6 +58,8 @@
 		{name: "no route, perhaps a newer one", path: "/n/", old: true, status: 503, retryAfter: true},
 		{name: "bad budget", path: "/o/x", budget: "soon", status: 400},
 		{name: "budget used up", path: "/o/x", budget: "0", status: 503},
+		{name: "headers just within the limit", path: "/o/" + strings.Repeat("x", 200), outcome: answered, status: 200},
+		{name: "headers too large", path: "/o/" + strings.Repeat("x", 300), outcome: answered, status: 431},
 		{name: "body too large", path: "/o/x", body: strings.Repeat("x", 11), status: 413},
 	}
 	Convey("A request", t, func() {
