Return the end of the context from the fake store of the reader's test

Cause: the linter (nilerr) rejected a nil error after a check of the context's error. Change: the fake store returns the context's error. Measured: make lint names no issue in the package any more; TestReader passes.

--- a/replicator/reader_test.go
+++ b/replicator/reader_test.go
@@ -76,9 +76,12 @@
 					c.Changes = []Change{{Object: Object{Name: "a", Revision: changed}}}
 					return c, nil
 				}
-				if time.Since(begun) >= wait || ctx.Err() != nil {
+				if time.Since(begun) >= wait {
 					return c, nil
 				}
+				if err := ctx.Err(); err != nil {
+					return Changes{}, err
+				}
 			}
 		},
 	}
