Refuse a request whose time is shorter than the way of its answer

Cause: by reading: with 10 ms or less left the deadline of the work had passed on arrival, yet the first try was written to a target and cancelled at once.

Ruled out: leaving it to the deadline (the target may run the request for nobody, and the answer can no longer say that it did not run).

Change: 503, not run, at once.

Measured: the new case of TestAnswers fails with the code before (200 instead of 503).

--- a/receiver/receiver.go
+++ b/receiver/receiver.go
@@ -171,10 +171,12 @@
 	if err != nil || ms < 0 || ms > float64(time.Hour/time.Millisecond) {
 		return 0, &refusal{http.StatusBadRequest, jujubegate.BadRequest, "header " + v.settings.Names.Budget + " is not a number of milliseconds: " + strconv.Quote(text), 0}
 	}
-	if ms == 0 {
+	left := time.Duration(ms * float64(time.Millisecond))
+	if left <= answerReserve {
+		// A target would be asked for an answer that nobody waits for.
 		return 0, &refusal{http.StatusServiceUnavailable, jujubegate.DeadlinePassed, "the time of the request is used up", 0}
 	}
-	return time.Duration(ms * float64(time.Millisecond)), nil
+	return left, nil
 }
 
 func (v *visit) body() ([]byte, *refusal) {
--- a/receiver/receiver_test.go
+++ b/receiver/receiver_test.go
@@ -58,6 +58,7 @@
 		{name: "no route, perhaps a newer one", path: "/n/", old: true, status: 503, retryAfter: true},
 		{name: "bad budget", path: "/o/x", budget: "soon", status: 400},
 		{name: "budget used up", path: "/o/x", budget: "0", status: 503},
+		{name: "budget as long as the way of the answer", path: "/o/x", budget: "10", outcome: answered, status: 503},
 		{name: "headers just within the limit", path: "/o/" + strings.Repeat("x", 200), outcome: answered, status: 200},
 		{name: "headers too large", path: "/o/" + strings.Repeat("x", 300), outcome: answered, status: 431},
 		{name: "body too large", path: "/o/x", body: strings.Repeat("x", 11), status: 413},
