Take an answer that is read before the write of its request returns

The reader asked whether the request was written, which the writer sets after Write has returned; on a busy machine the answer can be read before, and then the connection was not kept, and an answer behind a late one to another request was given up.

Ruled out: bytes of another request (the fake target writes both answers at once).

Change: a request that is sent in one piece counts as written from the start; a failed write ends the connection anyway. The fake prefers an answer that is due, as the sender does; the checks stay as they are.

Measured: TestAnswerBeforeTheWriteReturns fails with the code before.

--- a/connector/connection.go
+++ b/connector/connection.go
@@ -37,7 +37,7 @@
 type exchange struct {
 	request *Request
 	done    chan *result
-	// written is set once the whole request has been sent.
+	// written is set once the whole request has been sent, or is sent in one piece.
 	written atomic.Bool
 }
 
@@ -88,6 +88,9 @@
 	message := appendRequest(make([]byte, 0, 512+len(r.Body)), r, c.names, targetID, c.clock.Now())
 	message = append(message, r.Body...)
 	if len(message) <= inlineWriteBytes {
+		// The answer can be read before Write has returned here; a failed write
+		// ends the connection.
+		e.written.Store(true)
 		c.write(e, message)
 	} else {
 		go c.write(e, message)
--- a/connector/pool_test.go
+++ b/connector/pool_test.go
@@ -238,3 +238,32 @@
 		So(f.accepted.Load(), ShouldEqual, 3)
 	})
 }
+
+// lateConn returns from Write only a while after the other side has the bytes.
+type lateConn struct{ net.Conn }
+
+func (c lateConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	time.Sleep(30 * time.Millisecond)
+	return n, err
+}
+
+func TestAnswerBeforeTheWriteReturns(t *testing.T) {
+	// Guards against an answer that fails because it was read before the writer
+	// went on: behind a late answer to another request it was given up.
+	Convey("An answer that overtakes the end of the write is used", t, func() {
+		f := newFakeTarget(t, scripted(func(int64, *http.Request) string {
+			return answer("r-0", "old", "old") + answer("r-1", "s", "body")
+		}))
+		p := f.pool(1)
+		defer p.Close()
+		dial := dialer().DialContext
+		p.settings.Dial = func(ctx context.Context, network, address string) (net.Conn, error) {
+			c, err := dial(ctx, network, address)
+			return lateConn{c}, err
+		}
+		a, err := send(p, request("r-1"))
+		So(err, ShouldBeNil)
+		So(a.Signature, ShouldEqual, "s")
+	})
+}
--- a/gatherer/gatherer_test.go
+++ b/gatherer/gatherer_test.go
@@ -104,9 +104,13 @@
 				}
 				send := func(ctx context.Context, call sender.Call) sender.Outcome {
 					p := c.plans[slices.Index(shards, call.Service)]
+					sentAt := time.Now()
 					select {
 					case <-time.After(p.after):
 					case <-ctx.Done():
+					}
+					// An answer that is in counts, as with the sender.
+					if time.Since(sentAt) < p.after {
 						return sender.Outcome{Ran: jujubegate.Unknown, Reason: jujubegate.Cancelled}
 					}
 					if p.notRun {
