Bound what a peer can make an instance read and hold

Cause: connector read heads with http.ReadResponse on an unbounded reader, so that one header line without an end allocated 1.8 GB in a second; bodies up to 8 MB had no bound for all connections together; listings of the store could go on for ever; responses to control calls could have heads of 10 MB.

Ruled out: a parser of our own, since the standard one on a metered reader has the same bounds.

Change: a reader with a limit for each part of a message (head, number and size of headers, informational answers, body with chunk overhead and trailers, answers to other requests). Memory bounds large bodies of callers and targets together to a sixth of the new setting MemoryMB, counted until they are collected. A refusal without an ID counts only on a connection that carried no answer before. Store, gossip, lookups, list and control servers have bounds on heads and messages.

--- a/asker/asker.go
+++ b/asker/asker.go
@@ -17,8 +17,11 @@
 	"jujubegate.example/jujubegate"
 )
 
-// maxAnswerBytes limits the response body that is read.
-const maxAnswerBytes = 64 << 20
+// maxAnswerBytes limits the response body that is read, maxHeaderBytes its headers.
+const (
+	maxAnswerBytes = 64 << 20
+	maxHeaderBytes = 32 << 10
+)
 
 // Asker sends queries and orders to instances. It is safe for concurrent use.
 type Asker struct {
@@ -40,7 +43,7 @@
 // New returns an asker that looks up addresses at the seeds, which are host:port
 // of any instances.
 func New(seeds []string, dataCentre jujubegate.DataCentre, caller jujubegate.Caller, clock jujubegate.Clock) *Asker {
-	transport := &http.Transport{MaxIdleConnsPerHost: 64, IdleConnTimeout: time.Minute}
+	transport := &http.Transport{MaxIdleConnsPerHost: 64, IdleConnTimeout: time.Minute, MaxResponseHeaderBytes: maxHeaderBytes}
 	client := &http.Client{Transport: transport}
 	return &Asker{Do: client.Do, clock: clock, seeds: seeds, dataCentre: dataCentre, caller: caller, failed: make(map[string]time.Time)}
 }
--- a/cmd/jujubenode/main.go
+++ b/cmd/jujubenode/main.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	"github.com/jessevdk/go-flags"
@@ -65,6 +66,7 @@
 		return fail(exitUsage, err)
 	}
 	defer log.Close()
+	debug.SetMemoryLimit(settings.GoMemoryLimit())
 	metrics := recorder.New(log.Logger, false)
 	log.RegisterMetrics(metrics)
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -33,10 +33,9 @@
 	// movesPause is the same for moves. The delay is harmless because a new
 	// version starts with a small share of the requests.
 	movesPause = time.Second
-	// staleConfigurationAge is the time since the last confirmation after which
-	// the configuration may be outdated, so that a route missing from it may
-	// exist.
-	staleConfigurationAge = 2500 * time.Millisecond
+	// convergeMargin is the part of Bounds.ConvergeMillis for which a route may have
+	// been in the store already when the configuration was last confirmed.
+	convergeMargin = 500 * time.Millisecond
 	// defaultLinesPerSecond is the default log rate limit of one instance.
 	defaultLinesPerSecond = 200
 )
@@ -85,16 +84,17 @@
 	c := &Conductor{
 		adapter: adapter, clock: clock, log: log, recorder: rec, started: clock.Now(),
 		decodedTargets: make(map[string]decodedTarget),
-		transport:      &http.Transport{MaxIdleConnsPerHost: 2, DisableCompression: true},
+		transport:      &http.Transport{MaxIdleConnsPerHost: 2, DisableCompression: true, MaxResponseHeaderBytes: maxControlHeaderBytes},
 	}
 	c.settings.Store(&settings)
 	c.division.Store(&division{self: settings.Instance, share: maxStartupShare, startingUp: true})
 	c.requestContext, c.cancelRequests = context.WithCancel(context.Background())
 	opened := rec.Counter(recorder.ConnectionsOpened)
+	memory := connector.NewMemory(settings.bodyMemory())
 	c.tracker = tracker.New(tracker.Settings{
 		Clock: clock, Log: log, Drain: settings.Bounds.drain(),
 		NewPool: func(e tracker.Entry, bound int) *connector.Pool {
-			return connector.New(connector.Settings{Target: e.Address, TargetID: e.ID, Names: adapter.Names, Clock: clock, Opened: opened.Inc}, bound)
+			return connector.New(connector.Settings{Target: e.Address, TargetID: e.ID, Names: adapter.Names, Clock: clock, Opened: opened.Inc, Memory: memory}, bound)
 		},
 		ColdFactor: settings.Bounds.ColdFactor, ColdAllowance: settings.Bounds.ColdAllowance,
 		ColdPart: c.coldPart,
@@ -129,7 +129,7 @@
 	gather := gatherer.New(gatherer.Settings{Clock: clock, Send: c.sender.Send, Wait: c.sender.Wait})
 	c.receiver = receiver.New(receiver.Settings{
 		Names: adapter.Names, Clock: clock, Log: log, Recorder: rec,
-		Table: c.table.Load, Current: func() bool { return c.config.Age() < staleConfigurationAge }, Leaving: c.leaving.Load,
+		Table: c.table.Load, Current: c.configurationCurrent, Leaving: c.leaving.Load, Memory: memory,
 		Send: c.sender.Send, Gather: gather.Gather,
 	})
 	rec.GaugeFunc(recorder.TargetsKnown, func() int64 { return int64(c.tracker.UsableCount()) })
@@ -162,6 +162,12 @@
 // liveFleet returns the live instances, including this one.
 func (c *Conductor) liveFleet() []gossiper.Peer { return append(c.gossiper.Peers(), c.gossiper.Self()) }
 
+// configurationCurrent reports whether the configuration was confirmed so recently
+// that a route that is missing from it does not exist.
+func (c *Conductor) configurationCurrent() bool {
+	return c.config.Age() < c.settings.Load().Bounds.converge()-convergeMargin
+}
+
 // serving reports whether the instance accepts new requests.
 func (c *Conductor) serving() bool {
 	return !c.leaving.Load() && c.table.Load() != nil && c.tracker.UsableCount() > 0
@@ -276,13 +282,13 @@
 	mux.Handle(path, peers)
 	servers := []namedServer{
 		{name: callerServerName, server: c.callerServer()},
-		{name: "Peers", server: &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}},
-		{name: "Ready", server: &http.Server{Handler: c.readyHandler(), ReadHeaderTimeout: headerTimeout}},
-		{name: "Lookup", server: &http.Server{Handler: c.lookupHandler(), ReadHeaderTimeout: headerTimeout}},
+		{name: "Peers", server: controlServer(mux)},
+		{name: "Ready", server: controlServer(c.readyHandler())},
+		{name: "Lookup", server: controlServer(c.lookupHandler())},
 	}
 	addresses := []string{c.settings.Load().Listen.Callers, c.settings.Load().Listen.Peers, c.settings.Load().Listen.Ready, c.settings.Load().Listen.Lookup}
 	if c.settings.Load().Listen.Metrics != "" {
-		servers = append(servers, namedServer{name: "Metrics", server: &http.Server{Handler: c.recorder, ReadHeaderTimeout: headerTimeout}})
+		servers = append(servers, namedServer{name: "Metrics", server: controlServer(c.recorder)})
 		addresses = append(addresses, c.settings.Load().Listen.Metrics)
 	}
 	for i := range servers {
--- a/conductor/serve.go
+++ b/conductor/serve.go
@@ -19,8 +19,12 @@
 	// idleTimeout is how long an idle connection of a caller is kept. It is longer
 	// than callers wait before they reuse one.
 	idleTimeout = 2 * time.Minute
-	// maxHeaderBytes bounds the size of the headers of a request.
-	maxHeaderBytes = 64 << 10
+	// maxHeaderBytes bounds the size of the headers of a request, and
+	// maxControlHeaderBytes those of a message that is not of a caller.
+	maxHeaderBytes        = 64 << 10
+	maxControlHeaderBytes = 16 << 10
+	// controlReadTimeout bounds reading a message of a peer.
+	controlReadTimeout = 10 * time.Second
 	// maxLookupValidFor is the longest time for which callers may cache the answer
 	// to a lookup.
 	maxLookupValidFor = 1500 * time.Millisecond
@@ -34,6 +38,14 @@
 	}
 }
 
+// controlServer returns a server for requests that are not those of callers.
+func controlServer(h http.Handler) *http.Server {
+	return &http.Server{
+		Handler: h, ReadHeaderTimeout: headerTimeout, ReadTimeout: controlReadTimeout, IdleTimeout: idleTimeout,
+		MaxHeaderBytes: maxControlHeaderBytes,
+	}
+}
+
 // readyHandler serves the readiness probe.
 func (c *Conductor) readyHandler() http.Handler {
 	e := echo.New()
--- a/conductor/settings.go
+++ b/conductor/settings.go
@@ -24,7 +24,9 @@
 	// that the instance may use.
 	Cores     int
 	CoreShare float64
-	Listen    Listen
+	// MemoryMB is the memory that the process may use.
+	MemoryMB int
+	Listen   Listen
 	// Seeds are peer addresses of other instances; they may be stale.
 	Seeds  []string
 	Store  Store
@@ -45,6 +47,8 @@
 type Bounds struct {
 	// DrainMillis is how long a leaving target may still get requests.
 	DrainMillis int
+	// ConvergeMillis is the time within which a configuration must be in force.
+	ConvergeMillis int
 	// GraceSeconds is the grace period, from SIGTERM to SIGKILL.
 	GraceSeconds float64
 	// RepeatRatio and RepeatAllowance bound the repeats of requests to a service.
@@ -103,6 +107,7 @@
 		{"Log", s.Log == next.Log},
 		{"Fleet", s.Fleet == next.Fleet},
 		{"Cores", s.Cores == next.Cores && s.CoreShare == next.CoreShare},
+		{"MemoryMB", s.MemoryMB == next.MemoryMB},
 		{"Bounds", s.Bounds == bounds},
 	} {
 		if !field.same {
@@ -171,6 +176,7 @@
 		value float64
 	}{
 		{"Bounds.DrainMillis", float64(s.Bounds.DrainMillis)},
+		{"Bounds.ConvergeMillis", float64(s.Bounds.ConvergeMillis)},
 		{"Bounds.GraceSeconds", s.Bounds.GraceSeconds},
 		{"Bounds.RepeatRatio", s.Bounds.RepeatRatio},
 		{"Bounds.RepeatAllowance", s.Bounds.RepeatAllowance},
@@ -183,6 +189,9 @@
 	if s.Cores <= 0 || s.CoreShare <= 0 {
 		add("Cores and CoreShare must be greater than 0")
 	}
+	if s.MemoryMB <= 0 {
+		add("MemoryMB must be greater than 0")
+	}
 	if s.Log.LinesPerSecond <= 0 {
 		add("Log.LinesPerSecond must be greater than 0")
 	}
@@ -197,9 +206,27 @@
 	return s.Store.Address
 }
 
+// bodyMemoryPart is the fraction of the memory that large bodies may take. A copy
+// while a buffer grows and garbage can double it.
+const bodyMemoryPart = 1.0 / 6
+
+// bodyMemory returns how many bytes of large bodies may be held at the same time.
+func (s *Settings) bodyMemory() int64 { return int64(bodyMemoryPart * float64(s.MemoryMB<<20)) }
+
+// goMemoryPart is the fraction of the memory at which the garbage collector works
+// harder. The rest is for the kernel's socket buffers and the C library.
+const goMemoryPart = 0.75
+
+// GoMemoryLimit returns the memory limit of the Go runtime in bytes.
+func (s *Settings) GoMemoryLimit() int64 { return int64(goMemoryPart * float64(s.MemoryMB<<20)) }
+
 // capacity returns the usable CPU time in thousandths of a core.
 func (s *Settings) capacity() int64 { return max(int64(1000*s.CoreShare*float64(s.Cores)), 1) }
 
 func (b Bounds) grace() time.Duration { return time.Duration(b.GraceSeconds * float64(time.Second)) }
 
+func (b Bounds) converge() time.Duration {
+	return time.Duration(b.ConvergeMillis) * time.Millisecond
+}
+
 func (b Bounds) drain() time.Duration { return time.Duration(b.DrainMillis) * time.Millisecond }
--- a/conductor/settings_test.go
+++ b/conductor/settings_test.go
@@ -14,6 +14,7 @@
 DataCentre = "dc"
 Cores = 1
 CoreShare = 0.4
+MemoryMB = 284
 [Listen]
 Callers = "127.0.0.1:1"
 Ready = "127.0.0.1:2"
@@ -23,6 +24,7 @@
 Address = "127.0.0.1:5"
 [Bounds]
 DrainMillis = 3000
+ConvergeMillis = 3000
 GraceSeconds = 6
 RepeatRatio = 0.2
 RepeatAllowance = 54
--- a/connector/connection.go
+++ b/connector/connection.go
@@ -5,7 +5,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"sync"
@@ -16,12 +15,24 @@
 )
 
 const (
-	// maxAnswerBytes bounds the body of an answer, so that a few requests cannot
-	// exhaust the memory of a small instance.
+	// maxAnswerBytes bounds the body of an answer unless its request sets another
+	// limit. Memory bounds the large bodies of all connections together.
 	maxAnswerBytes = 8 << 20
-	// maxForeignAnswers is how many answers to other requests are skipped before
-	// the expected one. More of them mean that the target is broken.
+	// maxHeadBytes bounds the status line and the headers of an answer, maxHeaders
+	// their number and maxHeaderBytes the name and value of one.
+	maxHeadBytes   = 32 << 10
+	maxHeaders     = 128
+	maxHeaderBytes = 16 << 10
+	// maxOverheadBytes bounds the sizes and extensions of the chunks of a body and
+	// its trailers.
+	maxOverheadBytes = 64 << 10
+	// maxInterim is how many informational answers may precede an answer.
+	maxInterim = 4
+	// maxForeignAnswers is how many answers to other requests are skipped before the
+	// expected one, and maxForeignBytes bounds the body of each. More of them mean
+	// that the target is broken.
 	maxForeignAnswers = 2
+	maxForeignBytes   = 256 << 10
 	readBufferBytes   = 4 << 10
 	// inlineWriteBytes is the size up to which a request is written synchronously.
 	// It fits the smallest socket send buffers, so that the write does not block.
@@ -31,6 +42,9 @@
 var (
 	errIdleBytes = errors.New("target sent data while no request was in flight")
 	errForeign   = errors.New("target answered only other requests")
+	errInterim   = errors.New("target sent too many informational answers")
+	errNoID      = errors.New("target refused a request without saying which one")
+	errHeaders   = errors.New("target sent too many or too large headers")
 )
 
 // exchange is one request in flight and its answer.
@@ -56,6 +70,10 @@
 	conn  net.Conn
 	clock jujubegate.Clock
 	names *HeaderNames
+	// memory bounds the large bodies of all connections; nil means no bound.
+	memory *Memory
+	// answers counts the answers that were read. Only the reader uses it.
+	answers int
 
 	mu      sync.Mutex
 	current *exchange
@@ -74,8 +92,8 @@
 	onEnd func(*connection)
 }
 
-func newConnection(conn net.Conn, clock jujubegate.Clock, names *HeaderNames, onEnd func(*connection)) *connection {
-	c := &connection{conn: conn, clock: clock, names: names, onEnd: onEnd}
+func newConnection(conn net.Conn, settings *Settings, onEnd func(*connection)) *connection {
+	c := &connection{conn: conn, clock: settings.Clock, names: settings.Names, memory: settings.Memory, onEnd: onEnd}
 	go c.read()
 	return c
 }
@@ -113,8 +131,10 @@
 
 // read delivers answers to their exchanges until the connection ends.
 func (c *connection) read() {
-	r := bufio.NewReaderSize(c.conn, readBufferBytes)
+	m := &meteredReader{reader: c.conn}
+	r := &answerReader{Reader: bufio.NewReaderSize(m, readBufferBytes), meter: m}
 	for {
+		m.allow(readBufferBytes)
 		if _, err := r.Peek(1); err != nil {
 			c.end(fmt.Errorf("read answer: %w", err))
 			return
@@ -148,12 +168,23 @@
 	}
 }
 
+// answerReader is the buffered reader of a connection with its meter.
+type answerReader struct {
+	*bufio.Reader
+	meter *meteredReader
+}
+
 // readMatching reads answers up to the one whose ID is that of the request. A
 // target may first send a second answer to an earlier request.
-func (c *connection) readMatching(r *bufio.Reader, e *exchange) result {
+func (c *connection) readMatching(r *answerReader, e *exchange) result {
 	for range maxForeignAnswers + 1 {
 		res, foreign := c.readAnswer(r, e)
-		if res.err != nil || !foreign {
+		if res.err != nil {
+			res.err = fmt.Errorf("read answer: %w", res.err)
+			return res
+		}
+		if !foreign {
+			c.answers++
 			return res
 		}
 		if !res.reusable {
@@ -164,45 +195,94 @@
 }
 
 // readAnswer reads one answer and reports whether it is for another request.
-func (c *connection) readAnswer(r *bufio.Reader, e *exchange) (result, bool) {
-	response, err := http.ReadResponse(r, &http.Request{Method: e.request.Method})
+func (c *connection) readAnswer(r *answerReader, e *exchange) (res result, foreign bool) {
+	response, err := readHead(r, e.request.Method)
 	if err != nil {
-		return result{err: fmt.Errorf("read answer: %w", err)}, false
+		return result{err: err}, false
+	}
+	defer response.Body.Close()
+	if limit := keepAliveTimeout(response.Header); limit > 0 {
+		c.idleLimit = limit
+	}
+	limit := e.request.MaxAnswer
+	if limit <= 0 {
+		limit = maxAnswerBytes
 	}
-	if response.StatusCode < http.StatusOK {
-		return result{reusable: true}, true
+	switch id := response.Header.Get(c.names.RequestID); {
+	case id == "" && c.isRefusal(response):
+		// It may be for an earlier request unless there was none.
+		if c.answers > 0 {
+			return result{err: errNoID}, false
+		}
+	case id != e.request.ID:
+		foreign, limit = true, maxForeignBytes
 	}
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes+1))
-	response.Body.Close()
+	r.meter.allow(int64(limit + maxOverheadBytes))
+	body, err := ReadBody(response.Body, bodyLength(response), limit, c.memory)
 	if err != nil {
-		return result{err: fmt.Errorf("read answer: %w", err)}, false
+		return result{err: err}, false
+	}
+	delimited := response.ContentLength >= 0 || isChunked(response)
+	res.reusable = delimited && !response.Close && e.written.Load()
+	if !foreign {
+		res.answer = c.newAnswer(response, body)
 	}
-	if len(body) > maxAnswerBytes {
-		return result{err: fmt.Errorf("read answer: body exceeds %d bytes", maxAnswerBytes)}, false
+	return res, foreign
+}
+
+// readHead reads the head of an answer after those of informational ones.
+func readHead(r *answerReader, method string) (*http.Response, error) {
+	for range maxInterim + 1 {
+		r.meter.allow(maxHeadBytes)
+		response, err := http.ReadResponse(r.Reader, &http.Request{Method: method})
+		if err != nil {
+			return nil, err
+		}
+		if err := checkHeaders(response.Header); err != nil {
+			return nil, err
+		}
+		if response.StatusCode >= http.StatusOK {
+			return response, nil
+		}
 	}
-	now := c.clock.Now()
+	return nil, errInterim
+}
+
+// checkHeaders checks the number and the sizes of headers.
+func checkHeaders(h http.Header) error {
+	n := 0
+	for name, values := range h {
+		for _, value := range values {
+			if n++; n > maxHeaders || len(name)+len(value) > maxHeaderBytes {
+				return errHeaders
+			}
+		}
+	}
+	return nil
+}
+
+// isRefusal reports whether an answer says that the request did not run.
+func (c *connection) isRefusal(response *http.Response) bool {
+	return response.Header.Get(c.names.NotRun) != "" || response.StatusCode == http.StatusMisdirectedRequest
+}
+
+func (c *connection) newAnswer(response *http.Response, body []byte) Answer {
 	h := response.Header
-	a := Answer{
+	return Answer{
 		Status: response.StatusCode, Header: h, Body: body,
 		Signature:   h.Get(c.names.Signature),
-		NotRun:      h.Get(c.names.NotRun) != "" || response.StatusCode == http.StatusMisdirectedRequest,
+		NotRun:      c.isRefusal(response),
 		Misdirected: response.StatusCode == http.StatusMisdirectedRequest,
-		Load:        parseLoad(h.Get(c.names.Load), now),
-	}
-	if limit := keepAliveTimeout(h); limit > 0 {
-		c.idleLimit = limit
+		Load:        parseLoad(h.Get(c.names.Load), c.clock.Now()),
 	}
-	reusable := !response.Close && e.written.Load() && response.ContentLength >= 0 || isChunked(response) && !response.Close && e.written.Load()
-	id := h.Get(c.names.RequestID)
-	if id == e.request.ID {
-		return result{answer: a, reusable: reusable}, false
-	}
-	if id == "" && a.NotRun {
-		// A refusal needs no ID. Even if it is meant for an earlier request on this
-		// connection, the request in flight has no answer of its own.
-		return result{answer: a, reusable: reusable}, false
+}
+
+// bodyLength returns the announced length of a body, or -1 if there is none.
+func bodyLength(r *http.Response) int64 {
+	if isChunked(r) {
+		return -1
 	}
-	return result{reusable: reusable}, true
+	return r.ContentLength
 }
 
 func isChunked(r *http.Response) bool {
--- a/connector/pool.go
+++ b/connector/pool.go
@@ -72,6 +72,8 @@
 	TargetID string
 	Names    *HeaderNames
 	Clock    jujubegate.Clock
+	// Memory bounds the large answers of all pools together; nil means no bound.
+	Memory *Memory
 	// Dial opens a connection; nil means TCP.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 	// Opened is called for each new connection; may be nil.
@@ -83,6 +85,8 @@
 	settings Settings
 	// bound is the maximum number of open connections.
 	bound atomic.Int64
+	// expiry is when the pool stops to send requests; nil means never.
+	expiry atomic.Pointer[time.Time]
 
 	mu sync.Mutex
 	// idle holds the idle connections, the most recently used one last.
@@ -125,6 +129,36 @@
 // excess connections are closed when their request ends.
 func (p *Pool) SetBound(bound int) { p.bound.Store(int64(bound)) }
 
+// SetExpiry sets the time from which on no request is sent, also none that waits
+// for a connection; zero means none. From then on Send returns ErrClosed.
+func (p *Pool) SetExpiry(at time.Time) {
+	if at.IsZero() {
+		p.expiry.Store(nil)
+		return
+	}
+	p.expiry.Store(&at)
+	if !p.Expired(p.settings.Clock.Now()) {
+		return
+	}
+	p.mu.Lock()
+	p.failWaiters(ErrClosed)
+	p.mu.Unlock()
+}
+
+// Expired reports whether the time of SetExpiry has come.
+func (p *Pool) Expired(now time.Time) bool {
+	at := p.expiry.Load()
+	return at != nil && !now.Before(*at)
+}
+
+// failWaiters fails all requests that wait for a connection. The caller holds mu.
+func (p *Pool) failWaiters(err error) {
+	for _, w := range p.waiters {
+		w <- grant{err: err}
+	}
+	p.waiters = nil
+}
+
 // HasCapacity reports whether there is an idle connection or a new one may be
 // opened now, so that a request need not wait for another one to end.
 func (p *Pool) HasCapacity() bool {
@@ -165,10 +199,8 @@
 	p.mu.Lock()
 	p.closed = true
 	idle := p.idle
-	for _, w := range p.waiters {
-		w <- grant{err: ErrClosed}
-	}
-	p.idle, p.waiters = nil, nil
+	p.idle = nil
+	p.failWaiters(ErrClosed)
 	p.mu.Unlock()
 	for _, c := range idle {
 		c.conn.Close()
@@ -186,6 +218,10 @@
 		if err != nil {
 			return Answer{}, errors.Join(ErrNotSent, err)
 		}
+		if p.Expired(p.settings.Clock.Now()) {
+			p.release(c, true)
+			return Answer{}, errors.Join(ErrNotSent, ErrClosed)
+		}
 		e, err := c.start(r, p.settings.TargetID)
 		if err != nil {
 			// The connection ended while it was idle, so nothing was sent.
@@ -198,7 +234,7 @@
 			}
 			p.release(c, res.reusable)
 			if res.err != nil {
-				return Answer{}, &BrokenError{res.err}
+				return Answer{}, &BrokenError{fmt.Errorf("target %s: %w", p.settings.TargetID, res.err)}
 			}
 			return res.answer, nil
 		}
@@ -232,7 +268,7 @@
 func (p *Pool) acquire(ctx context.Context, fresh bool) (*connection, error) {
 	now := p.settings.Clock.Now()
 	p.mu.Lock()
-	if p.closed {
+	if p.closed || p.Expired(now) {
 		p.mu.Unlock()
 		return nil, ErrClosed
 	}
@@ -319,17 +355,14 @@
 		p.mu.Lock()
 		p.open--
 		p.backOff()
-		for _, w := range p.waiters {
-			w <- grant{err: fmt.Errorf("open connection: %w", err)}
-		}
-		p.waiters = nil
+		p.failWaiters(fmt.Errorf("open connection: %w", err))
 		p.mu.Unlock()
 		return
 	}
 	if p.settings.Opened != nil {
 		p.settings.Opened()
 	}
-	p.release(newConnection(conn, p.settings.Clock, p.settings.Names, p.connectionEnded), true)
+	p.release(newConnection(conn, &p.settings, p.connectionEnded), true)
 }
 
 // release passes a connection to the next waiter or makes it idle. It closes
@@ -378,10 +411,7 @@
 	if redial {
 		p.open++
 	} else if p.open == 0 {
-		for _, w := range p.waiters {
-			w <- grant{err: ErrRefusing}
-		}
-		p.waiters = nil
+		p.failWaiters(ErrRefusing)
 	}
 	p.mu.Unlock()
 	if redial {
--- a/connector/pool_test.go
+++ b/connector/pool_test.go
@@ -271,3 +271,45 @@
 		So(a.Signature, ShouldEqual, "s")
 	})
 }
+
+func TestExpiry(t *testing.T) {
+	// Guards against a request that waits for a connection and is sent to a target
+	// that has left meanwhile.
+	Convey("After the expiry no request is sent", t, func() {
+		release := make(chan struct{})
+		f := newFakeTarget(t, scripted(func(_ int64, r *http.Request) string {
+			<-release
+			return answer(r.Header.Get("X-Id"), "s", "")
+		}))
+		p := f.newPool(1)
+		defer p.Close()
+		results := make(chan error, 2)
+		for range 2 {
+			go func() {
+				_, err := send(p, request("r"))
+				results <- err
+			}()
+		}
+		for f.requests.Load() == 0 {
+			time.Sleep(time.Millisecond)
+		}
+		Convey("also none that waits, if it has come already", func() {
+			p.SetExpiry(time.Now())
+			So(errors.Is(<-results, ErrClosed), ShouldBeTrue)
+			close(release)
+			So(<-results, ShouldBeNil)
+		})
+		Convey("also none that gets its connection later", func() {
+			p.SetExpiry(time.Now().Add(30 * time.Millisecond))
+			time.Sleep(40 * time.Millisecond)
+			close(release)
+			first, second := <-results, <-results
+			So(first == nil || second == nil, ShouldBeTrue)
+			So(errors.Is(errors.Join(first, second), ErrNotSent), ShouldBeTrue)
+		})
+		So(f.requests.Load(), ShouldEqual, 1)
+		p.SetExpiry(time.Time{})
+		_, err := send(p, request("r"))
+		So(err, ShouldBeNil)
+	})
+}
--- a/connector/request.go
+++ b/connector/request.go
@@ -19,6 +19,8 @@
 	Body   []byte
 	// Deadline is when the caller stops waiting.
 	Deadline time.Time
+	// MaxAnswer is the largest body of an answer in bytes; 0 means the usual limit.
+	MaxAnswer int
 	// Fresh requires a new or recently used connection. It is set for a request
 	// that must not run twice, which cannot be repeated if the connection turns
 	// out to be closed.
--- a/lister/lister.go
+++ b/lister/lister.go
@@ -82,6 +82,9 @@
 // 7,400 entries are expected.
 const maxListBytes = 8 << 20
 
+// maxHeaderBytes bounds the headers of the list.
+const maxHeaderBytes = 32 << 10
+
 // Client reads the list over HTTP.
 type Client struct {
 	Lister
@@ -100,6 +103,8 @@
 		DialContext:        (&net.Dialer{Timeout: s.Timeout}).DialContext,
 		IdleConnTimeout:    90 * time.Second,
 		DisableCompression: true,
+
+		MaxResponseHeaderBytes: maxHeaderBytes,
 	}}}
 	c.Lister = Lister{List: c.list}
 	return c, nil
--- a/receiver/receiver.go
+++ b/receiver/receiver.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -30,6 +29,8 @@
 	// defaultMaxBodyBytes limits the size of a body if the configuration sets no
 	// limit.
 	defaultMaxBodyBytes = 1 << 20
+	// maxPartBytes limits the answer of one shard to a query.
+	maxPartBytes = 1 << 20
 	// shedRetryAfter is the Retry-After of a request that found no capacity: a few
 	// service times.
 	shedRetryAfter = 50 * time.Millisecond
@@ -51,8 +52,11 @@
 	Current func() bool
 	// Leaving reports whether the instance is about to shut down.
 	Leaving func() bool
-	Send    func(ctx context.Context, c sender.Call) sender.CallResult
-	Gather  func(ctx context.Context, q gatherer.Query) gatherer.Result
+	// Memory bounds the large bodies of all requests and answers together; nil means
+	// no bound.
+	Memory *connector.Memory
+	Send   func(ctx context.Context, c sender.Call) sender.CallResult
+	Gather func(ctx context.Context, q gatherer.Query) gatherer.Result
 }
 
 // Receiver is the HTTP handler for callers.
@@ -161,6 +165,9 @@
 		Header: connector.ForwardedHeader(e.request.Header, e.excludedHeaders...),
 		Body:   body, Deadline: deadline, Fresh: !e.route.Idempotent,
 	}
+	if e.route.Gather != nil {
+		e.call.MaxAnswer = maxPartBytes
+	}
 	return nil
 }
 
@@ -195,11 +202,15 @@
 	if err := control.SetReadDeadline(time.Now().Add(bodyTimeout)); err != nil && !errors.Is(err, http.ErrNotSupported) {
 		return nil, &refusal{http.StatusBadRequest, jujubegate.BadRequest, "the body cannot be read: " + err.Error(), 0}
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(e.writer, e.request.Body, int64(limit)))
-	var tooLarge *http.MaxBytesError
+	body, err := connector.ReadBody(e.request.Body, e.request.ContentLength, limit, e.settings.Memory)
 	switch {
-	case errors.As(err, &tooLarge):
+	case errors.Is(err, connector.ErrBodyTooLarge):
+		// The rest of the body is not read.
+		e.writer.Header().Set("Connection", "close")
 		return nil, &refusal{http.StatusRequestEntityTooLarge, jujubegate.BadRequest, "the body exceeds " + strconv.Itoa(limit) + " bytes", 0}
+	case errors.Is(err, connector.ErrMemory):
+		e.writer.Header().Set("Connection", "close")
+		return nil, &refusal{http.StatusServiceUnavailable, jujubegate.Overloaded, "no memory for the body at present", shedRetryAfter}
 	case err != nil:
 		return nil, &refusal{http.StatusBadRequest, jujubegate.BadRequest, "the body is incomplete: " + err.Error(), 0}
 	}
--- a/storer/client.go
+++ b/storer/client.go
@@ -66,7 +66,10 @@
 	preferred atomic.Int64
 }
 
-const defaultMaxResponseBytes = 16 << 20
+const (
+	defaultMaxResponseBytes = 16 << 20
+	maxResponseHeaderBytes  = 32 << 10
+)
 
 // New returns a client. The first call opens the first connection.
 func New(s Settings) (*Client, error) {
@@ -93,6 +96,8 @@
 				MaxIdleConnsPerHost: 16,
 				IdleConnTimeout:     90 * time.Second,
 				DisableCompression:  true,
+
+				MaxResponseHeaderBytes: maxResponseHeaderBytes,
 			},
 			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 		},
