Count the way of a confirmation against it

A state counted as confirmed when the answer of the store or of a peer arrived. A removal that the store accepted while that answer was under way was then older than the confirmation before it, by 118 ms in the trace, and each hop of gossip added its own way. The first state of a new instance counted as confirmed at its start, whatever its age.

Ruled out: a larger margin, which would only move the limit; clocks of peers, which may differ.

Change: a reading counts from the sending of the call. A request of a peer confirms nothing, since it may have been delayed for any time; its receiver asks back in a small fleet. Revision and age are read together. Targets that leave, or whose data centre is out of service, fail the requests that wait for a connection, and no pool sends after the end of the use of its target. Retries and hedges check this too. failoverAge rises by the length of one watch, as ages now include it.

--- a/gossiper/exchange.go
+++ b/gossiper/exchange.go
@@ -13,13 +13,14 @@
 )
 
 func (g *Gossiper) client(address string) wireconnect.GossipClient {
-	return wireconnect.NewGossipClient(g.settings.Client, "http://"+address)
+	return wireconnect.NewGossipClient(g.settings.Client, "http://"+address, connect.WithReadMaxBytes(maxMessageBytes))
 }
 
 // exchange sends the state of this instance to a peer and merges the response.
 func (g *Gossiper) exchange(ctx context.Context, address string, full bool) {
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
+	sentAt := g.settings.Clock.Now()
 	response, err := g.client(address).Exchange(ctx, connect.NewRequest(&wire.ExchangeRequest{
 		Fleet: g.settings.Fleet, Receiver: address, Sender: g.self(), Known: g.changedPeers(full), Holdings: g.holdings(), Whole: full, Tallies: g.tallies(),
 	}))
@@ -36,7 +37,7 @@
 		return
 	}
 	g.merge(response.Msg.Sender, response.Msg.Known)
-	g.reconcile(address, response.Msg.Holdings)
+	g.reconcile(address, response.Msg.Holdings, sentAt)
 	g.deliverTallies(response.Msg.Sender, response.Msg.Tallies)
 }
 
@@ -49,13 +50,29 @@
 			fmt.Errorf("message for fleet %q and receiver %q does not belong here", m.Fleet, m.Receiver))
 	}
 	senderChanged := g.merge(m.Sender, m.Known)
-	g.reconcile(m.Sender.PeerAddress, m.Holdings)
+	if g.reconcile(m.Sender.PeerAddress, m.Holdings, time.Time{}) && g.Size() <= FullMeshLimit+1 {
+		// In a larger fleet this instance asks as many peers itself in each round.
+		g.askBack(m.Sender.PeerAddress)
+	}
 	g.deliverTallies(m.Sender, m.Tallies)
 	return connect.NewResponse(&wire.ExchangeResponse{
 		Sender: g.self(), Known: g.changedPeers(m.Whole || senderChanged), Holdings: g.holdings(), Tallies: g.tallies(),
 	}), nil
 }
 
+// askBack starts an exchange with the sender of a request, unless one was started
+// within the last half of a period. The request may have been delayed for any time,
+// so the ages in it confirm nothing; those in the response to an own request are
+// known to be newer than that request.
+func (g *Gossiper) askBack(address string) {
+	now := g.settings.Clock.Now()
+	last := g.askedBackAt.Load()
+	if last != nil && now.Sub(*last) < Period/2 || !g.askedBackAt.CompareAndSwap(last, &now) {
+		return
+	}
+	go g.exchange(context.Background(), address, false)
+}
+
 func (g *Gossiper) tallies() []*wire.Tally {
 	if g.settings.LocalTallies == nil {
 		return nil
--- a/gossiper/fetch.go
+++ b/gossiper/fetch.go
@@ -12,6 +12,11 @@
 	"jujubegate.example/jujubegate/wire"
 )
 
+// confirmationLag is by how much the confirmations of a peer must be newer than
+// those here for another exchange to get them. The reader of the store confirms
+// every 700 ms.
+const confirmationLag = 300 * time.Millisecond
+
 // Fetch returns the changes of a kind after the requested revision, or all of its
 // objects if the revision is 0 or the history does not reach back that far.
 func (g *Gossiper) Fetch(_ context.Context, r *connect.Request[wire.FetchRequest]) (*connect.Response[wire.FetchResponse], error) {
@@ -22,7 +27,8 @@
 	if held == nil || held.State() == nil {
 		return nil, connect.NewError(connect.CodeNotFound, fmt.Errorf("kind %q is not held", r.Msg.Kind))
 	}
-	age := held.Age().Milliseconds()
+	// The age is read before the objects, which can only be newer.
+	age := ageMillis(held.Age())
 	if c, ok := held.Since(r.Msg.After); ok && r.Msg.After > 0 {
 		response := &wire.FetchResponse{Revision: c.Revision, AgeMs: age}
 		for _, change := range c.Changes {
@@ -54,8 +60,10 @@
 // reconcile compares the revisions that a peer holds with those held here. For
 // each kind, it fetches the objects if the peer has a newer revision, and otherwise
 // applies the peer's confirmation. It also records which kinds the peer fails to
-// read from the store.
-func (g *Gossiper) reconcile(address string, holdings []*wire.Holding) {
+// read from the store. The peer wrote the message at sentAt or later; if sentAt is
+// zero that time is not known, so that the message confirms nothing. Reconcile
+// reports whether the ages in such a message are much shorter than those here.
+func (g *Gossiper) reconcile(address string, holdings []*wire.Holding, sentAt time.Time) (fresher bool) {
 	for _, h := range holdings {
 		r := g.replicator(h.Kind)
 		if r == nil {
@@ -78,8 +86,15 @@
 			go g.fetch(address, r)
 			continue
 		}
-		r.Confirm(h.Revision, time.Duration(h.AgeMs)*time.Millisecond)
+		age := time.Duration(h.AgeMs) * time.Millisecond
+		if sentAt.IsZero() {
+			revision, ownAge := r.Holding()
+			fresher = fresher || revision == h.Revision && age+confirmationLag < ownAge
+			continue
+		}
+		r.Confirm(h.Revision, sentAt.Add(-age))
 	}
+	return fresher
 }
 
 // fetch gets the newer objects of one kind from a peer.
@@ -91,27 +106,27 @@
 	}()
 	ctx, cancel := context.WithTimeout(context.Background(), fetchTimeout)
 	defer cancel()
-	after := r.Revision()
+	after, sentAt := r.Revision(), g.settings.Clock.Now()
 	response, err := g.client(address).Fetch(ctx, connect.NewRequest(&wire.FetchRequest{Fleet: g.settings.Fleet, Kind: r.Kind(), After: after}))
 	if err != nil {
 		g.settings.Log.Warn("gossiper: fetch failed", zap.String("Address", address), zap.String("Kind", r.Kind()), zap.Error(err))
 		return
 	}
 	m := response.Msg
-	age := time.Duration(m.AgeMs) * time.Millisecond
+	reading := replicator.Reading{At: sentAt.Add(-time.Duration(m.AgeMs) * time.Millisecond), FromPeer: true}
 	if m.Whole {
 		l := replicator.Listing{Revision: m.Revision}
 		for _, o := range m.Objects {
 			l.Objects = append(l.Objects, fromStoredObject(o))
 		}
-		r.Replace(l, age, true)
+		r.Replace(l, reading)
 		return
 	}
 	c := replicator.Changes{Revision: m.Revision}
 	for _, o := range m.Objects {
 		c.Changes = append(c.Changes, replicator.Change{Object: fromStoredObject(o), Removed: o.Removed})
 	}
-	r.Apply(after, c, age)
+	r.Apply(after, c, reading)
 }
 
 func fromStoredObject(o *wire.StoredObject) replicator.Object {
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -39,6 +39,8 @@
 	// compressMinBytes is the size from which on a response is compressed. Lists of
 	// targets are larger; for exchanges compression would cost more than it saves.
 	compressMinBytes = 1024
+	// maxMessageBytes bounds a message after decompression: all objects of a kind.
+	maxMessageBytes = 32 << 20
 	// exchangeTimeout bounds one exchange.
 	exchangeTimeout = 400 * time.Millisecond
 	// fetchTimeout bounds the transfer of one kind.
@@ -81,6 +83,8 @@
 	incarnation atomic.Int64
 	beat        atomic.Int64
 	serving     atomic.Bool
+	// askedBackAt is the time of the last askBack.
+	askedBackAt atomic.Pointer[time.Time]
 
 	mu      sync.Mutex
 	members members
@@ -129,7 +133,7 @@
 
 // Handler returns the path and the handler of the Gossip service.
 func (g *Gossiper) Handler() (string, http.Handler) {
-	return wireconnect.NewGossipHandler(g, connect.WithCompressMinBytes(compressMinBytes))
+	return wireconnect.NewGossipHandler(g, connect.WithCompressMinBytes(compressMinBytes), connect.WithReadMaxBytes(maxMessageBytes))
 }
 
 // Run exchanges state with peers until the context ends.
@@ -257,9 +261,11 @@
 func (g *Gossiper) holdings() []*wire.Holding {
 	held := make([]*wire.Holding, 0, len(g.settings.Replicators))
 	for _, r := range g.settings.Replicators {
-		held = append(held, &wire.Holding{
-			Kind: r.Kind(), Revision: r.Revision(), AgeMs: r.Age().Milliseconds(), Failing: r.Failing(),
-		})
+		revision, age := r.Holding()
+		held = append(held, &wire.Holding{Kind: r.Kind(), Revision: revision, AgeMs: ageMillis(age), Failing: r.Failing()})
 	}
 	return held
 }
+
+// ageMillis returns an age in milliseconds, rounded up so that it is not too short.
+func ageMillis(age time.Duration) int64 { return (age + time.Millisecond - 1).Milliseconds() }
--- a/gossiper/turn.go
+++ b/gossiper/turn.go
@@ -10,9 +10,9 @@
 
 const (
 	// failoverAge is the age of the newest confirmation from which on instances that
-	// are not the first in rank read the store. It covers a watch, a round and a
-	// margin.
-	failoverAge = 1300 * time.Millisecond
+	// are not the first in rank read the store. It covers two watches, since one
+	// confirms the time at which it was sent, a round and a margin.
+	failoverAge = 2 * time.Second
 	// failoverStep is added to failoverAge for each rank, so that not all instances
 	// read at once when the first one fails.
 	failoverStep = 250 * time.Millisecond
--- a/replicator/reader.go
+++ b/replicator/reader.go
@@ -93,9 +93,9 @@
 	if err := rd.lead.read(ctx, watchWait); err != nil {
 		return fmt.Errorf("read %s: %w", rd.lead.Kind(), err)
 	}
-	at := rd.lead.position()
+	revision, at := rd.lead.position()
 	for _, r := range rd.others {
-		if r.confirmAt(at) || r.withinPause() {
+		if r.confirmAt(revision, at) || r.withinPause() {
 			continue
 		}
 		if err := r.read(ctx, followWait); err != nil {
--- a/replicator/replicator.go
+++ b/replicator/replicator.go
@@ -54,6 +54,16 @@
 	Gap Gap
 }
 
+// Reading says how the content of a state or a confirmation became known.
+type Reading struct {
+	// At is a time that is not after the read of the store. The answer to a call
+	// can be delayed for any time, so it is when the call was sent and not when its
+	// answer arrived.
+	At time.Time
+	// FromPeer is set if a peer read the store.
+	FromPeer bool
+}
+
 // Gap is an interval without confirmations. Objects can expire in it although
 // their owners are live.
 type Gap struct {
@@ -69,8 +79,9 @@
 	failing  atomic.Bool
 
 	mu sync.Mutex
-	// confirmedAt is when some instance last read the store and found nothing newer
-	// than the state.
+	// confirmedAt is the Reading.At of the latest read of the store, by any instance,
+	// that found nothing newer than the state. Without a state it is when this
+	// replicator was created.
 	confirmedAt time.Time
 	gap         Gap
 	// history holds the latest changes; historyStart is the revision before them.
@@ -109,11 +120,18 @@
 }
 
 // Age returns the time since some instance last read the store and found nothing
-// newer than the state.
+// newer than the state. It is never too short, but too long by the time that calls
+// to the store and to peers took.
 func (r *Replicator) Age() time.Duration {
+	_, age := r.Holding()
+	return age
+}
+
+// Holding returns the revision of the newest state, as Revision does, and its age.
+func (r *Replicator) Holding() (int64, time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.settings.Clock.Now().Sub(r.confirmedAt)
+	return r.Revision(), r.settings.Clock.Now().Sub(r.confirmedAt)
 }
 
 // Failing reports whether this instance's last call to the store failed.
@@ -124,10 +142,11 @@
 // a listing follows the watch.
 func (r *Replicator) read(ctx context.Context, wait time.Duration) error {
 	defer r.recordRead()
-	if revision := r.position(); revision > 0 {
+	reading := Reading{At: r.settings.Clock.Now()}
+	if revision, _ := r.position(); revision > 0 {
 		c, err := r.settings.Source.Watch(ctx, r.settings.Kind, revision, wait)
 		if err == nil {
-			r.Apply(revision, c, 0)
+			r.Apply(revision, c, reading)
 			return nil
 		}
 		if !errors.Is(err, ErrHistoryGone) {
@@ -135,11 +154,12 @@
 		}
 		r.settings.Log.Info("replicator: store no longer holds the history, listing all objects", zap.String("Kind", r.settings.Kind), zap.Int64("Revision", revision))
 	}
+	reading.At = r.settings.Clock.Now()
 	l, err := r.settings.Source.List(ctx, r.settings.Kind)
 	if err != nil {
 		return err
 	}
-	r.Replace(l, 0, false)
+	r.Replace(l, reading)
 	return nil
 }
 
@@ -157,15 +177,15 @@
 	return r.state.Load() != nil && r.settings.Clock.Now().Sub(r.readAt) < r.settings.Pause
 }
 
-// position returns the revision up to which the state is known to be current; 0
-// without a state.
-func (r *Replicator) position() int64 {
+// position returns the revision up to which the state is known to be current, and
+// since when; 0 without a state.
+func (r *Replicator) position() (int64, time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.positionLocked()
+	return r.positionLocked(), r.confirmedAt
 }
 
-// positionLocked is position for callers that hold mu.
+// positionLocked returns the revision of position. The caller holds mu.
 func (r *Replicator) positionLocked() int64 {
 	if r.state.Load() == nil {
 		return 0
@@ -173,15 +193,15 @@
 	return max(r.cursor, r.Revision())
 }
 
-// confirmAt records that the store has been read at a revision. It returns false
-// if the state is not known to be current at that revision.
-func (r *Replicator) confirmAt(revision int64) bool {
+// confirmAt records that the store was at a revision at the given time. It returns
+// false if the state is not known to be current at that revision.
+func (r *Replicator) confirmAt(revision int64, at time.Time) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.state.Load() == nil || r.positionLocked() < revision {
 		return false
 	}
-	r.confirm(r.settings.Clock.Now())
+	r.confirm(at)
 	return true
 }
 
@@ -198,13 +218,13 @@
 	}
 }
 
-// Confirm records that a peer's state at a revision was confirmed the given time
-// ago. It has no effect if the state here has another revision.
-func (r *Replicator) Confirm(revision int64, age time.Duration) {
+// Confirm records that a peer's state at a revision was confirmed at the given time.
+// It has no effect if the state here has another revision.
+func (r *Replicator) Confirm(revision int64, at time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.state.Load() != nil && revision == r.Revision() {
-		r.confirm(r.settings.Clock.Now().Add(-age))
+		r.confirm(at)
 	}
 }
 
@@ -229,9 +249,8 @@
 	return r.gap
 }
 
-// Replace applies a listing that was confirmed the given time ago, unless the
-// state is newer.
-func (r *Replicator) Replace(l Listing, age time.Duration, fromPeer bool) {
+// Replace applies a listing, unless the state is newer.
+func (r *Replicator) Replace(l Listing, reading Reading) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	old := r.state.Load()
@@ -239,7 +258,11 @@
 		return
 	}
 	seenAt := r.confirmedAt
-	r.confirm(r.settings.Clock.Now().Add(-age))
+	if old == nil {
+		// Until now the age was the time without a state. The state may be older.
+		r.confirmedAt = reading.At
+	}
+	r.confirm(reading.At)
 	if old != nil && l.Revision == old.Revision {
 		return
 	}
@@ -248,13 +271,12 @@
 		objects[o.Name] = o
 	}
 	r.history, r.historyStart = nil, l.Revision
-	r.publish(&State{Revision: l.Revision, Objects: objects, FromPeer: fromPeer, SeenAt: seenAt})
+	r.publish(&State{Revision: l.Revision, Objects: objects, FromPeer: reading.FromPeer, SeenAt: seenAt})
 }
 
-// Apply applies the changes after a revision, which were confirmed the given time
-// ago. They are ignored if the state has not reached that revision; applying
-// changes again has no effect.
-func (r *Replicator) Apply(after int64, c Changes, age time.Duration) {
+// Apply applies the changes after a revision. They are ignored if the state has not
+// reached that revision; applying changes again has no effect.
+func (r *Replicator) Apply(after int64, c Changes, reading Reading) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	old := r.state.Load()
@@ -262,7 +284,7 @@
 		return
 	}
 	seenAt := r.confirmedAt
-	r.confirm(r.settings.Clock.Now().Add(-age))
+	r.confirm(reading.At)
 	r.cursor = max(r.cursor, c.Revision)
 	if len(c.Changes) == 0 || c.Revision == old.Revision {
 		// Changes of other kinds raise the store's revision too. The state keeps
@@ -278,7 +300,7 @@
 		objects[change.Object.Name] = change.Object
 	}
 	r.appendHistory(c)
-	r.publish(&State{Revision: c.Revision, Objects: objects, FromPeer: age > 0, SeenAt: seenAt})
+	r.publish(&State{Revision: c.Revision, Objects: objects, FromPeer: reading.FromPeer, SeenAt: seenAt})
 }
 
 // appendHistory adds changes to the history and drops the oldest entries beyond
--- a/sender/run.go
+++ b/sender/run.go
@@ -175,7 +175,7 @@
 		}
 		options = append(options, option)
 		switch {
-		case r.wasAttempted(replica):
+		case r.wasAttempted(replica) || !replica.Usable(now):
 			skip |= 1 << i
 		case !replica.Admissible(now):
 			cold |= 1 << i
--- a/tracker/lapse.go
+++ b/tracker/lapse.go
@@ -12,6 +12,7 @@
 	// 0.8 s until they are read.
 	reappearTime = 2800 * time.Millisecond
 	// drainMargin is the part of the drain time that is left for requests in transit.
+	// None is sent in it, also none that waited for a connection.
 	drainMargin = 300 * time.Millisecond
 )
 
--- a/tracker/replica.go
+++ b/tracker/replica.go
@@ -44,8 +44,8 @@
 	load  atomic.Pointer[connector.Load]
 	// misdirected is set once another target has answered at the address.
 	misdirected atomic.Bool
-	// usableUntil is when a target that is no longer listed is removed; zero while
-	// it is listed. Tracker.mu guards it and probablyGone.
+	// usableUntil is when a target that is no longer listed gets no more requests and
+	// is removed; zero while it is listed. Tracker.mu guards it and probablyGone.
 	usableUntil time.Time
 	// probablyGone is set if the target has probably ended. It gets requests only
 	// if its service has no other targets.
@@ -64,6 +64,10 @@
 // Entry returns the newest entry.
 func (r *Replica) Entry() *Entry { return r.entry.Load() }
 
+// Usable reports whether the target may get requests now. A call that began earlier
+// may hold replicas that have become unusable since.
+func (r *Replica) Usable(now time.Time) bool { return !r.Pool.Expired(now) }
+
 // Begin records that an attempt is sent.
 func (r *Replica) Begin(now time.Time) {
 	r.Stats.Begin()
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -230,14 +230,20 @@
 }
 
 // publish replaces the view. Targets that are probably gone are included only for
-// services without others.
+// services without others. Requests that wait for a connection to a target that is
+// not in the view any more are failed, so that they can be sent elsewhere.
 func (t *Tracker) publish() {
+	now := t.settings.Clock.Now()
 	v := &view{services: make(map[jujubegate.Service][]*Replica)}
 	probablyGone := make(map[jujubegate.Service][]*Replica)
 	for _, r := range t.replicas {
 		e := r.Entry()
+		if e.Draining || r.misdirected.Load() || t.outOfService.Has(e.DataCentre) {
+			r.Pool.SetExpiry(now)
+			continue
+		}
+		r.Pool.SetExpiry(r.usableUntil)
 		switch {
-		case e.Draining || r.misdirected.Load() || t.outOfService.Has(e.DataCentre):
 		case r.probablyGone:
 			probablyGone[e.Service] = append(probablyGone[e.Service], r)
 		default:
--- a/tracker/tracker_test.go
+++ b/tracker/tracker_test.go
@@ -171,3 +171,46 @@
 		}
 	})
 }
+
+func TestUnusableTargetsAreKnownToRunningCalls(t *testing.T) {
+	// Guards against a retry to a target that has begun to leave since the call
+	// started, and against a target that is used until the next sweep, 120 ms too
+	// late.
+	drained := entry(1)
+	drained.Draining = true
+	cases := []struct {
+		name  string
+		steps func(*Tracker, *clockwork.FakeClock)
+		want  bool
+	}{
+		{"listed", func(*Tracker, *clockwork.FakeClock) {}, true},
+		{"draining", func(t *Tracker, _ *clockwork.FakeClock) { t.Update([]Entry{entry(0), drained}, Recency{}) }, false},
+		{"draining revoked", func(t *Tracker, _ *clockwork.FakeClock) {
+			t.Update([]Entry{entry(0), drained}, Recency{})
+			t.Update([]Entry{entry(0), entry(1)}, Recency{})
+		}, true},
+		{"data centre out of service", func(t *Tracker, _ *clockwork.FakeClock) {
+			t.SetOutOfService(jujubegate.NewSet[jujubegate.DataCentre]("dc-1"))
+		}, false},
+		{"gone, within the drain time", func(t *Tracker, c *clockwork.FakeClock) {
+			t.Update([]Entry{entry(0)}, ago(c, time.Second))
+			c.Advance(drainTime - drainMargin - time.Second - time.Millisecond)
+		}, true},
+		{"gone, after the drain time", func(t *Tracker, c *clockwork.FakeClock) {
+			t.Update([]Entry{entry(0)}, ago(c, time.Second))
+			c.Advance(drainTime - drainMargin - time.Second)
+		}, false},
+	}
+	Convey("A target that a running call holds", t, func() {
+		for _, c := range cases {
+			Convey(c.name, func() {
+				clock := clockwork.NewFakeClock()
+				tr := newTracker(clock)
+				tr.Update([]Entry{entry(0), entry(1)}, Recency{})
+				held := tr.replicas["1"]
+				c.steps(tr, clock)
+				So(held.Usable(clock.Now()), ShouldEqual, c.want)
+			})
+		}
+	})
+}
