Estimate when an answer is due from what the caller has used up

Cause: a constant of 26 ms stood for the way of a request and its answer. The answer was held until the calls of stragglers had reported and the log line was written.

Change: estimator finds the largest budget that the callers of a route have in common within the objective, with the timeout as prior, and takes the round trip from TCP_INFO. Hedges are timed by the due time of their call. Answers are flushed before their details are gathered for the log. A call waits for its cancelled attempts, so that a request that never left gets 503 and not 504, and one of which a byte left never gets 503.

--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -15,6 +15,7 @@
 
 	"jujubegate.example/jujubegate"
 	"jujubegate.example/jujubegate/connector"
+	"jujubegate.example/jujubegate/estimator"
 	"jujubegate.example/jujubegate/gatherer"
 	"jujubegate.example/jujubegate/gossiper"
 	"jujubegate.example/jujubegate/promoter"
@@ -129,7 +130,7 @@
 	gather := gatherer.New(gatherer.Settings{Clock: clock, Send: c.sender.Send, Wait: c.sender.Wait})
 	c.receiver = receiver.New(receiver.Settings{
 		Names: adapter.Names, Clock: clock, Log: log, Recorder: rec,
-		Table: c.table.Load, Current: c.configurationCurrent, Leaving: c.leaving.Load, Memory: memory,
+		Table: c.table.Load, Current: c.configurationCurrent, Leaving: c.leaving.Load, Memory: memory, Estimator: estimator.New(clock),
 		Send: c.sender.Send, Gather: gather.Gather,
 	})
 	rec.GaugeFunc(recorder.TargetsKnown, func() int64 { return int64(c.tracker.UsableCount()) })
--- a/conductor/serve.go
+++ b/conductor/serve.go
@@ -10,6 +10,7 @@
 	"github.com/labstack/echo/v4"
 
 	"jujubegate.example/jujubegate/gossiper"
+	"jujubegate.example/jujubegate/receiver"
 )
 
 const (
@@ -34,6 +35,7 @@
 	return &http.Server{
 		Handler:           c.receiver,
 		ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		ConnContext: receiver.ConnContext,
 		BaseContext: func(net.Listener) context.Context { return c.requestContext },
 	}
 }
--- a/gatherer/gatherer.go
+++ b/gatherer/gatherer.go
@@ -13,13 +13,6 @@
 )
 
 const (
-	// ReplyReserve is the time reserved for the request on its way from the
-	// caller and for the answer on its way back: four network trips of 3 ms,
-	// including the opening of a connection, and processing on a small instance
-	// that shares its processor with others.
-	ReplyReserve = 26 * time.Millisecond
-	// maxReserveFraction limits the reserve to a fraction of the objective.
-	maxReserveFraction = 0.5
 	// maxQueueFraction is the longest queueing time, as a fraction of the
 	// objective. Above it a shard counts as overloaded, because its result would
 	// be late.
@@ -49,7 +42,8 @@
 type Query struct {
 	Request *connector.Request
 	Route   *router.Route
-	Arrival time.Time
+	// Due is when the answer must be known to reach the caller within the objective.
+	Due time.Time
 }
 
 // MissingShard is a shard whose records are missing from an answer.
@@ -65,14 +59,27 @@
 	// Signatures are the signatures of the answers that are merged in Body.
 	Signatures []string
 	Body       []byte
-	Missing    []MissingShard
-	// Attempts is the number of attempts at all shards.
-	Attempts int
+	// MissingCount is the number of shards that are not in the answer.
+	MissingCount int
+	// DecidedAt is when the answer was known, or Due if that is later.
+	DecidedAt time.Time
 	// Outcome says whether any target may have run the query.
 	Outcome jujubegate.Outcome
 	Reason  jujubegate.Reason
 	// RetryAfter is the time after which a retry can succeed; 0 if it is unknown.
 	RetryAfter time.Duration
+
+	details func() ([]MissingShard, int)
+}
+
+// Missing returns the missing shards and the number of attempts at all shards. It
+// waits for the calls that were still running when the result was known; they end
+// at once.
+func (r *Result) Missing() (missing []MissingShard, attempts int) {
+	if r.details == nil {
+		return nil, 0
+	}
+	return r.details()
 }
 
 // shardResult is the result of the request to one shard of the route.
@@ -91,6 +98,8 @@
 	// of shards that the answer needs.
 	pending  int
 	required int
+	missing  []MissingShard
+	attempts int
 }
 
 // Gather sends the query to all shards. It returns once all shards have a result,
@@ -102,11 +111,10 @@
 		return Result{Outcome: jujubegate.NotRun, Reason: jujubegate.Overloaded, RetryAfter: wait}
 	}
 	ctx, cancel := context.WithCancelCause(ctx)
-	defer cancel(connector.ErrAbandoned)
 	results := make(chan *shardResult, len(shards))
 	for i, shard := range shards {
 		go func() {
-			results <- &shardResult{i, g.settings.Send(ctx, sender.Call{Request: q.Request, Route: q.Route, Service: shard})}
+			results <- &shardResult{i, g.settings.Send(ctx, sender.Call{Request: q.Request, Route: q.Route, Service: shard, Due: q.Due})}
 		}()
 	}
 	s := &queryState{
@@ -117,18 +125,28 @@
 	}
 	reason := g.collect(ctx, s, results)
 	cancel(connector.ErrAbandoned)
-	// The remaining calls return at once and report their attempts.
+	if !s.floorReached() {
+		// Whether the query may have run depends on all calls. They return at once.
+		s.drain(results)
+	}
+	return s.finish(reason, g.settings.Clock.Now(), results)
+}
+
+// drain adds the results of the calls that are still running.
+func (s *queryState) drain(results <-chan *shardResult) {
 	for s.pending > 0 {
 		s.addResult(<-results)
 	}
-	return s.finish(reason)
 }
 
 // collect adds the results of shards until the query can be answered or has
 // failed, and returns why it failed.
 func (g *Gatherer) collect(ctx context.Context, s *queryState, results <-chan *shardResult) jujubegate.Reason {
 	objective := s.query.Route.Objective
-	objectiveDue, graceDue := g.settings.Clock.After(g.untilObjective(s.query)), (<-chan time.Time)(nil)
+	var objectiveDue, graceDue <-chan time.Time
+	if !s.query.Due.IsZero() {
+		objectiveDue = g.settings.Clock.After(s.query.Due.Sub(g.settings.Clock.Now()))
+	}
 	graceOver := false
 	for s.pending > 0 {
 		select {
@@ -182,14 +200,6 @@
 	return max(int(math.Ceil(g.Floor*float64(len(g.Shards))-1e-9)), 1)
 }
 
-// untilObjective returns how long the query can wait for shards so that its
-// answer still reaches the caller within the objective.
-func (g *Gatherer) untilObjective(q Query) time.Duration {
-	reserve := min(ReplyReserve, time.Duration(maxReserveFraction*float64(q.Route.Objective)))
-	left := q.Route.Objective - reserve - g.settings.Clock.Since(q.Arrival)
-	return max(left, 0)
-}
-
 func (s *queryState) addResult(r *shardResult) {
 	signature := r.result.Answer.Signature
 	_, duplicate := s.signatures[signature]
@@ -206,12 +216,12 @@
 // addMissing records a shard that is left out of the answer.
 func (s *queryState) addMissing(r *shardResult) {
 	s.countShard(r)
-	s.result.Missing = append(s.result.Missing, MissingShard{s.query.Route.Gather.Shards[r.index], r.result})
+	s.missing = append(s.missing, MissingShard{s.query.Route.Gather.Shards[r.index], r.result})
 }
 
 func (s *queryState) countShard(r *shardResult) {
 	s.pending--
-	s.result.Attempts += len(r.result.Attempts)
+	s.attempts += len(r.result.Attempts)
 	if r.result.Outcome != jujubegate.NotRun {
 		s.result.Outcome = jujubegate.Unknown
 	}
@@ -223,14 +233,25 @@
 func (s *queryState) floorUnreachable() bool { return len(s.result.Signatures)+s.pending < s.required }
 
 // finish returns the result with the shards that have answered.
-func (s *queryState) finish(reason jujubegate.Reason) Result {
-	s.result.OK = s.floorReached()
-	if s.result.OK {
-		s.result.Outcome, s.result.Body = jujubegate.Ran, s.top.Bytes()
-		return s.result
+func (s *queryState) finish(reason jujubegate.Reason, now time.Time, results <-chan *shardResult) Result {
+	r := s.result
+	r.OK, r.MissingCount, r.DecidedAt = s.floorReached(), len(s.query.Route.Gather.Shards)-len(r.Signatures), now
+	if s.pending > 0 && now.After(s.query.Due) {
+		// The wait ended because the answer was due, not by a result.
+		r.DecidedAt = s.query.Due
+	}
+	r.details = func() ([]MissingShard, int) {
+		for s.pending > 0 {
+			s.addMissing(<-results)
+		}
+		return s.missing, s.attempts
+	}
+	if r.OK {
+		r.Outcome, r.Body = jujubegate.Ran, s.top.Bytes()
+		return r
 	}
-	if s.result.Reason = reason; reason == "" {
-		s.result.Reason = jujubegate.NoCoverage
+	if r.Reason = reason; reason == "" {
+		r.Reason = jujubegate.NoCoverage
 	}
-	return s.result
+	return r
 }
--- a/receiver/receiver.go
+++ b/receiver/receiver.go
@@ -14,6 +14,7 @@
 
 	"jujubegate.example/jujubegate"
 	"jujubegate.example/jujubegate/connector"
+	"jujubegate.example/jujubegate/estimator"
 	"jujubegate.example/jujubegate/gatherer"
 	"jujubegate.example/jujubegate/recorder"
 	"jujubegate.example/jujubegate/router"
@@ -55,8 +56,10 @@
 	// Memory bounds the large bodies of all requests and answers together; nil means
 	// no bound.
 	Memory *connector.Memory
-	Send   func(ctx context.Context, c sender.Call) sender.CallResult
-	Gather func(ctx context.Context, q gatherer.Query) gatherer.Result
+	// Estimator estimates what part of a caller's time is used up elsewhere.
+	Estimator *estimator.Estimator
+	Send      func(ctx context.Context, c sender.Call) sender.CallResult
+	Gather    func(ctx context.Context, q gatherer.Query) gatherer.Result
 }
 
 // Receiver is the HTTP handler for callers.
@@ -95,8 +98,15 @@
 	table   *router.Table
 	route   *router.Route
 	call    *connector.Request
+	// left is how long the caller still waits.
+	left time.Duration
 	// deadline is the time by which the final answer must be sent.
 	deadline time.Time
+	// due is when the answer must be sent to reach the caller within the objective
+	// of the route; zero if the route has none.
+	due time.Time
+	// decidedAt is when the answer was known or, if later, due.
+	decidedAt time.Time
 }
 
 // ServeHTTP answers one request.
@@ -115,6 +125,7 @@
 	}
 	ctx, cancel := context.WithDeadlineCause(r.Context(), e.deadline, context.DeadlineExceeded)
 	defer cancel()
+	e.estimate()
 	if e.route.Gather != nil {
 		e.gather(ctx)
 		return
@@ -122,6 +133,19 @@
 	e.forward(ctx)
 }
 
+// estimate sets due by what the caller has used up of its time.
+func (e *exchange) estimate() {
+	if e.route.Objective <= 0 {
+		return
+	}
+	estimate := e.settings.Estimator.ObserveRequest(estimator.Request{
+		Route: e.route.Name, Objective: e.route.Objective, Timeout: e.route.Timeout,
+		Budget: e.left, Trip: callerTrip(e.request.Context()),
+	})
+	left, _ := estimate.Left(e.route.Objective)
+	e.due = e.arrival.Add(left)
+}
+
 // refusal is an error answer by this instance instead of a target.
 type refusal struct {
 	status     int
@@ -150,15 +174,15 @@
 		}
 		return &refusal{http.StatusNotFound, jujubegate.UnknownRoute, "no route matches the host and path", 0}
 	}
-	left, f := e.budget()
-	if f != nil {
+	var f *refusal
+	if e.left, f = e.budget(); f != nil {
 		return f
 	}
 	body, f := e.body()
 	if f != nil {
 		return f
 	}
-	deadline := sender.Deadline(e.route, e.arrival, left)
+	deadline := sender.Deadline(e.route, e.arrival, e.left)
 	e.deadline = deadline.Add(-answerReserve)
 	e.call = &connector.Request{
 		ID: e.id, Method: e.request.Method, URI: uri, Host: e.request.Host,
@@ -261,7 +285,8 @@
 // forward sends a request to one service.
 func (e *exchange) forward(ctx context.Context) {
 	service := e.route.Pick()
-	result := e.settings.Send(ctx, sender.Call{Request: e.call, Route: e.route, Service: service})
+	result := e.settings.Send(ctx, sender.Call{Request: e.call, Route: e.route, Service: service, Due: e.due})
+	e.decidedAt = e.settings.Clock.Now()
 	if !result.OK {
 		e.refuse(refusalFor(result.Outcome, result.Reason), zap.String("Service", string(service)), zap.Array("Tries", attempts(result.Attempts)))
 		return
@@ -281,36 +306,43 @@
 
 // gather answers a query over many shards.
 func (e *exchange) gather(ctx context.Context) {
-	result := e.settings.Gather(ctx, gatherer.Query{Request: e.call, Route: e.route, Arrival: e.arrival})
-	details := []zap.Field{
-		zap.Int("Shards", len(e.route.Gather.Shards)), zap.Int("In", len(result.Signatures)),
-		zap.Int("Tries", result.Attempts), zap.Array("Missing", missingShards(result.Missing)),
-	}
+	result := e.settings.Gather(ctx, gatherer.Query{Request: e.call, Route: e.route, Due: e.due})
+	e.decidedAt = result.DecidedAt
 	if !result.OK {
 		f := refusalFor(result.Outcome, result.Reason)
 		f.retryAfter = max(f.retryAfter, result.RetryAfter)
-		e.refuse(f, details...)
+		e.refuse(f, e.gatherDetails(&result)...)
 		return
 	}
 	header := e.writer.Header()
 	header[http.CanonicalHeaderKey(e.settings.Names.Parts)] = []string{strings.Join(result.Signatures, ", ")}
-	header[http.CanonicalHeaderKey(e.settings.Names.PartsMissing)] = []string{strconv.Itoa(len(result.Missing))}
+	header[http.CanonicalHeaderKey(e.settings.Names.PartsMissing)] = []string{strconv.Itoa(result.MissingCount)}
 	e.write(http.StatusOK, result.Body)
 	e.answered.Inc()
-	if len(result.Missing) > 0 {
+	if result.MissingCount > 0 {
 		e.partial.Inc()
 	}
-	e.log(http.StatusOK, details...)
+	e.log(http.StatusOK, e.gatherDetails(&result)...)
+}
+
+// gatherDetails returns the fields of the log line about a query. It waits for the
+// attempts that were still running when the query was answered.
+func (e *exchange) gatherDetails(result *gatherer.Result) []zap.Field {
+	missing, attempts := result.Missing()
+	return []zap.Field{
+		zap.Int("Shards", len(e.route.Gather.Shards)), zap.Int("In", len(result.Signatures)),
+		zap.Int("Tries", attempts), zap.Array("Missing", missingShards(missing)),
+	}
 }
 
 // refusalFor returns the refusal of a request that no target answered. Status 503
 // is only used for a request that certainly has not run.
 func refusalFor(outcome jujubegate.Outcome, reason jujubegate.Reason) *refusal {
 	switch {
-	case reason == jujubegate.DeadlinePassed || reason == jujubegate.Cancelled:
-		return &refusal{http.StatusGatewayTimeout, reason, "no answer in time", 0}
 	case outcome == jujubegate.NotRun:
 		return &refusal{http.StatusServiceUnavailable, reason, "no target could take the request", shedRetryAfter}
+	case reason == jujubegate.DeadlinePassed || reason == jujubegate.Cancelled:
+		return &refusal{http.StatusGatewayTimeout, reason, "no answer in time", 0}
 	}
 	return &refusal{http.StatusBadGateway, reason, "the request may have run, but has no answer", 0}
 }
@@ -339,5 +371,11 @@
 	e.writer.WriteHeader(status)
 	// The write only fails if the caller has disconnected.
 	_, _ = e.writer.Write(body)
+	// What follows, such as the log line, must not delay the answer. The flush fails
+	// like the write, or if the writer is not buffered.
+	_ = http.NewResponseController(e.writer).Flush()
+	if !e.decidedAt.IsZero() {
+		e.settings.Estimator.ObserveAnswer(e.settings.Clock.Since(e.decidedAt))
+	}
 	e.latency.Record(e.settings.Clock.Since(e.arrival))
 }
--- a/sender/call.go
+++ b/sender/call.go
@@ -13,6 +13,8 @@
 	Request *connector.Request
 	Route   *router.Route
 	Service jujubegate.Service
+	// Due is when the answer is needed; zero if there is no such time.
+	Due time.Time
 }
 
 // Attempt is one sending of a request to one target.
--- a/sender/run.go
+++ b/sender/run.go
@@ -81,28 +81,26 @@
 // onContextDone returns the result after the end of the context. An answer that
 // has already been received is still used.
 func (r *callState) onContextDone() CallResult {
-	for {
-		select {
-		case c := <-r.results:
-			r.inFlight--
-			if result, done := r.handleCompletion(c); done && result.OK {
-				return result
-			}
-		default:
-			return r.interrupted()
+	// Attempts end with the context. Their results say which of them were sent.
+	for r.inFlight > 0 {
+		c := <-r.results
+		r.inFlight--
+		if result, done := r.handleCompletion(c); done && result.OK {
+			return result
 		}
 	}
+	return r.interrupted()
 }
 
 // hedgeDelay returns the time after which an attempt without an answer is
-// hedged. It leaves three typical latencies within the objective for the hedge,
-// but no hedge is sent before 1.25 typical latencies.
+// hedged. It leaves hedgeLatencies for the hedge until the answer is due, but no
+// hedge is sent before 1.25 typical latencies.
 func (r *callState) hedgeDelay() time.Duration {
 	delay, typical := r.latency.Delay(), r.latency.Typical()
-	if typical <= 0 || r.call.Route.Objective <= 0 {
+	if typical <= 0 || r.call.Due.IsZero() {
 		return delay
 	}
-	latest := r.call.Route.Objective - 3*typical
+	latest := r.call.Due.Sub(r.start) - hedgeLatencies*typical
 	return max(min(delay, latest), typical+typical/4)
 }
 
--- a/sender/sender.go
+++ b/sender/sender.go
@@ -36,6 +36,9 @@
 	// minSilence is the shortest time without an answer after which a target
 	// counts as unresponsive.
 	minSilence = 15 * time.Millisecond
+	// hedgeLatencies is the time, in typical latencies, that a hedge has until its
+	// answer is due.
+	hedgeLatencies = 2
 	// stackOptions is the number of targets up to which choosing one does not
 	// allocate on the heap.
 	stackOptions = 16
--- a/sender/sender_test.go
+++ b/sender/sender_test.go
@@ -240,3 +240,62 @@
 		So(f.runs[n].Load(), ShouldBeLessThanOrEqualTo, int64(1+rate*time.Since(start).Seconds()+allowance))
 	})
 }
+
+// oneByteConn sends the first byte of what is written and fails then.
+type oneByteConn struct{ net.Conn }
+
+func (c oneByteConn) Write(b []byte) (int, error) {
+	n, _ := c.Conn.Write(b[:1])
+	c.Close()
+	return n, net.ErrClosed
+}
+
+func TestOnlyUnsentRequestsAreNotRun(t *testing.T) {
+	// Guards against a 504 for an order that never left the instance, whose caller
+	// then does not dare to repeat it, and against a 503 for one of which a single
+	// byte did.
+	cases := []struct {
+		name string
+		dial func(ctx context.Context) (net.Conn, error)
+		want jujubegate.Outcome
+	}{
+		{"no connection in time", func(ctx context.Context) (net.Conn, error) {
+			<-ctx.Done()
+			return nil, ctx.Err()
+		}, jujubegate.NotRun},
+		{"connection lost after one byte", func(context.Context) (net.Conn, error) {
+			ours, theirs := net.Pipe()
+			go func() {
+				defer theirs.Close()
+				_, _ = theirs.Read(make([]byte, 1))
+			}()
+			return oneByteConn{ours}, nil
+		}, jujubegate.Unknown},
+	}
+	Convey("An order that is not answered", t, func() {
+		for _, c := range cases {
+			Convey(c.name, func() {
+				clock := clockwork.NewRealClock()
+				var pool *connector.Pool
+				targets := tracker.New(tracker.Settings{
+					Clock: clock, Log: zap.NewNop(), ColdPart: func(string, float64) float64 { return 1 },
+					NewPool: func(e tracker.Entry, _ int) *connector.Pool {
+						pool = connector.New(connector.Settings{
+							Target: e.Address, TargetID: e.ID, Names: &connector.HeaderNames{RequestID: "X-Id", Budget: "X-Budget", ExpectTarget: "X-Expect"}, Clock: clock,
+							Dial: func(ctx context.Context, _, _ string) (net.Conn, error) { return c.dial(ctx) },
+						}, 1)
+						return pool
+					},
+				})
+				targets.Update([]tracker.Entry{{ID: "t", Service: service, Slots: 1}}, tracker.Recency{})
+				f := &fixture{sender: New(Settings{Tracker: targets, Clock: clock, Share: func() float64 { return 1 }, Seed: 1})}
+				result := f.send(false, 1, 50*ms)
+				pool.Close()
+				So(result.OK, ShouldBeFalse)
+				So(result.Outcome, ShouldEqual, c.want)
+				// The dial ends after its own timeout.
+				time.Sleep(connector.DialTimeout)
+			})
+		}
+	})
+}
