Count the bytes to targets and peers, those to other data centres apart

Change: accountant counts them on the connections to targets and on those of calls to peers; metrics TargetBytes, PeerBytes and their Far parts.

--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -85,8 +85,8 @@
 	c := &Conductor{
 		adapter: adapter, clock: clock, log: log, recorder: rec, started: clock.Now(),
 		decodedTargets: make(map[string]decodedTarget),
-		transport:      &http.Transport{MaxIdleConnsPerHost: 2, DisableCompression: true, MaxResponseHeaderBytes: maxControlHeaderBytes},
 	}
+	c.transport = c.newPeerTransport()
 	c.settings.Store(&settings)
 	c.division.Store(&division{self: settings.Instance, share: maxStartupShare, startingUp: true})
 	c.requestContext, c.cancelRequests = context.WithCancel(context.Background())
@@ -95,7 +95,10 @@
 	c.tracker = tracker.New(tracker.Settings{
 		Clock: clock, Log: log, Drain: settings.Bounds.drain(),
 		NewPool: func(e tracker.Entry, bound int) *connector.Pool {
-			return connector.New(connector.Settings{Target: e.Address, TargetID: e.ID, Names: adapter.Names, Clock: clock, Opened: opened.Inc, Memory: memory}, bound)
+			return connector.New(connector.Settings{
+				Target: e.Address, TargetID: e.ID, Names: adapter.Names, Clock: clock, Opened: opened.Inc, Memory: memory,
+				Dial: c.dialTarget(e.DataCentre),
+			}, bound)
 		},
 		ColdFactor: settings.Bounds.ColdFactor, ColdAllowance: settings.Bounds.ColdAllowance,
 		ColdPart: c.coldPart,
--- /dev/null
+++ b/conductor/traffic.go
@@ -0,0 +1,42 @@
+package conductor
+
+import (
+	"context"
+	"net"
+	"net/http"
+
+	"jujubegate.example/jujubegate"
+	"jujubegate.example/jujubegate/accountant"
+	"jujubegate.example/jujubegate/connector"
+	"jujubegate.example/jujubegate/recorder"
+)
+
+// dialTarget returns the function that opens connections to a target in a data
+// centre and counts their bytes.
+func (c *Conductor) dialTarget(dataCentre jujubegate.DataCentre) func(ctx context.Context, network, address string) (net.Conn, error) {
+	account := accountant.Account{Total: c.recorder.Counter(recorder.TargetBytes), Far: c.recorder.Counter(recorder.TargetBytesFar)}
+	far := dataCentre != c.settings.Load().DataCentre
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := connector.Dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return account.Open(conn, far), nil
+	}
+}
+
+// newPeerTransport returns the transport for calls to peers. It counts their bytes.
+// A peer whose data centre is not known yet counts as far.
+func (c *Conductor) newPeerTransport() *http.Transport {
+	account := accountant.Account{Total: c.recorder.Counter(recorder.PeerBytes), Far: c.recorder.Counter(recorder.PeerBytesFar)}
+	return &http.Transport{
+		MaxIdleConnsPerHost: 2, DisableCompression: true, MaxResponseHeaderBytes: maxControlHeaderBytes,
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			conn, err := (&net.Dialer{}).DialContext(ctx, network, address)
+			if err != nil {
+				return nil, err
+			}
+			return account.Open(conn, c.gossiper.DataCentreOf(address) != c.settings.Load().DataCentre), nil
+		},
+	}
+}
--- a/connector/pool.go
+++ b/connector/pool.go
@@ -74,7 +74,7 @@
 	Clock    jujubegate.Clock
 	// Memory bounds the large answers of all pools together; nil means no bound.
 	Memory *Memory
-	// Dial opens a connection; nil means TCP.
+	// Dial opens a connection; nil means the function Dial.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 	// Opened is called for each new connection; may be nil.
 	Opened func()
@@ -111,18 +111,19 @@
 // New returns an empty pool that may open up to bound connections.
 func New(settings Settings, bound int) *Pool {
 	if settings.Dial == nil {
-		settings.Dial = dialer().DialContext
+		settings.Dial = Dial
 	}
 	p := &Pool{settings: settings}
 	p.bound.Store(int64(bound))
 	return p
 }
 
-// dialer returns a TCP dialer that enables keep-alive.
-func dialer() *net.Dialer {
-	return &net.Dialer{KeepAliveConfig: net.KeepAliveConfig{
+// Dial opens a TCP connection that detects the loss of its other end.
+func Dial(ctx context.Context, network, address string) (net.Conn, error) {
+	d := net.Dialer{KeepAliveConfig: net.KeepAliveConfig{
 		Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount,
 	}}
+	return d.DialContext(ctx, network, address)
 }
 
 // SetBound sets the maximum number of open connections. If it is lowered,
--- a/connector/pool_test.go
+++ b/connector/pool_test.go
@@ -261,9 +261,8 @@
 		}))
 		p := f.newPool(1)
 		defer p.Close()
-		dial := dialer().DialContext
 		p.settings.Dial = func(ctx context.Context, network, address string) (net.Conn, error) {
-			c, err := dial(ctx, network, address)
+			c, err := Dial(ctx, network, address)
 			return slowWriteConn{c}, err
 		}
 		a, err := send(p, request("r-1"))
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -197,6 +197,19 @@
 	return g.members.live()
 }
 
+// DataCentreOf returns the data centre of the peer with an address; empty if it is
+// not known.
+func (g *Gossiper) DataCentreOf(peerAddress string) jujubegate.DataCentre {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, r := range g.members.records {
+		if r.peering.PeerAddress == peerAddress {
+			return jujubegate.DataCentre(r.peering.DataCentre)
+		}
+	}
+	return ""
+}
+
 // partners returns the addresses to contact in the next round: some live peers,
 // all of them if all is set and the fleet is small, and one that is suspected, dead
 // or not known yet. Without live peers it returns up to FullMeshLimit of the latter.
--- a/recorder/metric.go
+++ b/recorder/metric.go
@@ -51,6 +51,10 @@
 	ForwardedFailed    = Metric{"ForwardedFailed", KindCounter, "requests", "opaque requests neither answered with success nor refused; some may have run"}
 	ForwardedLatency   = Metric{"ForwardedLatency", KindHistogram, "µs", "time from the arrival of an opaque request to its answer"}
 	ConnectionsOpened  = Metric{"ConnectionsOpened", KindCounter, "connections", "connections opened to targets for opaque requests"}
+	TargetBytes        = Metric{"TargetBytes", KindCounter, "bytes", "sent to and received from targets for opaque requests"}
+	TargetBytesFar     = Metric{"TargetBytesFar", KindCounter, "bytes", "the part of TargetBytes to and from other data centres"}
+	PeerBytes          = Metric{"PeerBytes", KindCounter, "bytes", "sent and received in exchanges and transfers that this instance started with peers"}
+	PeerBytesFar       = Metric{"PeerBytesFar", KindCounter, "bytes", "the part of PeerBytes to and from other data centres"}
 	ConfigurationInUse = Metric{"ConfigurationInUse", KindGauge, "version", "version of the applied platform configuration"}
 	TargetsKnown       = Metric{"TargetsKnown", KindGauge, "targets", "listed targets that new requests may use"}
 	InstancesKnown     = Metric{"InstancesKnown", KindGauge, "instances", "live instances, this one included"}
@@ -66,7 +70,7 @@
 	TargetLatency, TargetsOwned, Orders, OrdersUnknown,
 	Generation, Epoch, Serving,
 	Forwarded, ForwardedAnswered, ForwardedPartial, ForwardedRefused, ForwardedFailed, ForwardedLatency,
-	ConnectionsOpened, ConfigurationInUse, TargetsKnown, InstancesKnown,
+	ConnectionsOpened, TargetBytes, TargetBytesFar, PeerBytes, PeerBytesFar, ConfigurationInUse, TargetsKnown, InstancesKnown,
 	StoreCalls, StoreFailures, LogLinesDropped,
 }
 
