Record the limits that targets name and what they get meanwhile

The adapter decodes the header, an answer without it ends the limit if its request was sent after the last one that named it, and each instance logs its counts every 4 s. No decision depends on the limit yet.

--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -137,6 +137,7 @@
 		Send: c.sender.Send, Gather: gather.Gather,
 	})
 	rec.GaugeFunc(recorder.TargetsKnown, func() int64 { return int64(c.tracker.UsableCount()) })
+	rec.GaugeFunc(recorder.TargetsLimited, func() int64 { return int64(c.tracker.LimitedCount()) })
 	rec.GaugeFunc(recorder.InstancesKnown, func() int64 { return int64(c.countInstances()) })
 	return c
 }
--- a/connector/connection.go
+++ b/connector/connection.go
@@ -274,6 +274,7 @@
 		NotRun:      c.isRefusal(response),
 		Misdirected: response.StatusCode == http.StatusMisdirectedRequest,
 		Load:        parseLoad(h.Get(c.names.Load), c.clock.Now()),
+		Limit:       parseLimit(h, c.names.Limit),
 	}
 }
 
--- a/connector/names.go
+++ b/connector/names.go
@@ -14,6 +14,9 @@
 	ExpectTarget string
 	// Load holds the numbers of running requests, waiting requests and slots.
 	Load string
+	// Limit holds the requests per second that a target in need takes from all
+	// instances together.
+	Limit string
 	// NotRun marks an answer to a request that the target did not run.
 	NotRun string
 	// Parts lists the signatures of the parts of a gathered answer.
--- a/connector/request.go
+++ b/connector/request.go
@@ -38,6 +38,7 @@
 	// Misdirected says that another target now has the address.
 	Misdirected bool
 	Load        Load
+	Limit       Limit
 }
 
 // Load is the load that a target reported with an answer.
--- a/recorder/metric.go
+++ b/recorder/metric.go
@@ -57,6 +57,7 @@
 	PeerBytesFar       = Metric{"PeerBytesFar", KindCounter, "bytes", "the part of PeerBytes to and from other data centres"}
 	ConfigurationInUse = Metric{"ConfigurationInUse", KindGauge, "version", "version of the applied platform configuration"}
 	TargetsKnown       = Metric{"TargetsKnown", KindGauge, "targets", "listed targets that new requests may use"}
+	TargetsLimited     = Metric{"TargetsLimited", KindGauge, "targets", "targets that name a limit in their answers"}
 	InstancesKnown     = Metric{"InstancesKnown", KindGauge, "instances", "live instances, this one included"}
 	StoreCalls         = Metric{"StoreCalls", KindCounter, "calls", "calls to the platform's store"}
 	StoreFailures      = Metric{"StoreFailures", KindCounter, "calls", "calls to the platform's store without a usable answer"}
@@ -70,7 +71,7 @@
 	TargetLatency, TargetsOwned, Orders, OrdersUnknown,
 	Generation, Epoch, Serving,
 	Forwarded, ForwardedAnswered, ForwardedPartial, ForwardedRefused, ForwardedFailed, ForwardedLatency,
-	ConnectionsOpened, TargetBytes, TargetBytesFar, PeerBytes, PeerBytesFar, ConfigurationInUse, TargetsKnown, InstancesKnown,
+	ConnectionsOpened, TargetBytes, TargetBytesFar, PeerBytes, PeerBytesFar, ConfigurationInUse, TargetsKnown, TargetsLimited, InstancesKnown,
 	StoreCalls, StoreFailures, LogLinesDropped,
 }
 
--- a/sender/run.go
+++ b/sender/run.go
@@ -129,7 +129,7 @@
 	r.sent++
 	ctx, cancel := context.WithCancelCause(r.ctx)
 	r.cancels = append(r.cancels, cancel)
-	replica.Begin(now)
+	replica.Begin(now, kind != First)
 	go r.sendAttempt(ctx, len(r.attempts)-1, replica, now)
 	return ""
 }
@@ -219,6 +219,9 @@
 	took := now.Sub(sentAt)
 	result := classify(&answer, err)
 	replica.SetLoad(answer.Load)
+	if result == Answered || answer.Limit.Named && result != Misdirected {
+		r.sender.settings.Tracker.ObserveLimit(replica, answer.Limit, sentAt)
+	}
 	replica.Done(now, balancerResult(result, &answer, err), took)
 	if result == Misdirected {
 		r.sender.settings.Tracker.MarkMisdirected(replica)
--- a/tracker/replica.go
+++ b/tracker/replica.go
@@ -59,6 +59,10 @@
 	coldUntil   time.Time
 	// coldLimiter limits the requests until coldUntil; nil means no limit.
 	coldLimiter *rate.Limiter
+	// limit is the limit that the target names; nil means none. Limited is set if
+	// there is one.
+	limit   *namedLimit
+	limited atomic.Bool
 }
 
 // Entry returns the newest entry.
@@ -68,14 +72,15 @@
 // may hold replicas that have become unusable since.
 func (r *Replica) Usable(now time.Time) bool { return !r.Pool.Expired(now) }
 
-// Begin records that an attempt is sent.
-func (r *Replica) Begin(now time.Time) {
+// Begin records that an attempt is sent. Repeat is set for a hedge or a retry.
+func (r *Replica) Begin(now time.Time, repeat bool) {
 	r.Stats.Begin()
 	r.mu.Lock()
 	if r.outstanding == 0 {
 		r.silentSince = now
 	}
 	r.outstanding++
+	r.countLimited(repeat)
 	r.mu.Unlock()
 }
 
@@ -173,7 +178,7 @@
 func (r *Replica) AdmitDelay(now time.Time) time.Duration {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if !r.limited(now) {
+	if !r.coldLimited(now) {
 		return 0
 	}
 	coldLeft := r.coldUntil.Sub(now)
@@ -192,7 +197,7 @@
 func (r *Replica) Admit(now time.Time) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return !r.limited(now) || r.coldLimiter.AllowN(now, 1)
+	return !r.coldLimited(now) || r.coldLimiter.AllowN(now, 1)
 }
 
-func (r *Replica) limited(now time.Time) bool { return r.coldLimiter != nil && now.Before(r.coldUntil) }
+func (r *Replica) coldLimited(now time.Time) bool { return r.coldLimiter != nil && now.Before(r.coldUntil) }
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -55,6 +55,8 @@
 	// idleTimeout is how long this instance keeps idle connections; 0 means as long
 	// as the targets keep them.
 	idleTimeout time.Duration
+	// limitsReportedAt is when reportLimits last logged.
+	limitsReportedAt time.Time
 }
 
 // view holds the targets that new requests may use, by service. It is immutable.
@@ -153,6 +155,7 @@
 	now := t.settings.Clock.Now()
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.reportLimits(now)
 	removed := false
 	for id, r := range t.replicas {
 		if t.idleTimeout > 0 {
