--- a/tracker/replica.go
+++ b/tracker/replica.go
@@ -200,4 +200,6 @@
 	return !r.coldLimited(now) || r.coldLimiter.AllowN(now, 1)
 }
 
-func (r *Replica) coldLimited(now time.Time) bool { return r.coldLimiter != nil && now.Before(r.coldUntil) }
+func (r *Replica) coldLimited(now time.Time) bool {
+	return r.coldLimiter != nil && now.Before(r.coldUntil)
+}
