Keep to the limits that targets name, as a fleet

What was seen: a target that names the requests a second that it takes from all instances (Server-Limit) got its usual share whatever it named, 152 to 228 in 4 s where 129 to 156 were allowed, and 198 at 6.7/s where 45 were. Callers noticed nothing; the target in need did.

Ruled out: instances that each keep to the whole limit, hedges and retries as the excess.

Class of fault: a limit on the sum over all instances that is not part of the division. It is now divided like the rate of cold targets. The bursts of all instances must fit what the contract allows beyond the limit, so that at most that many instances, the same for all targets, send to a target with a limit: one request of each of 80 instances is already too much at 6/s. A request takes its token when it is written to a connection, so that those which wait for one when the limit arrives count too. A hedge leaves a token for requests without another attempt. A target that names 0 still gets a request now and then, as only an answer shows the end of its limit. What no copy admits is rejected at once as not run, with a Retry-After at the rate of the limit, one caller after the other.

--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -101,7 +101,8 @@
 			}, bound)
 		},
 		ColdFactor: settings.Bounds.ColdFactor, ColdAllowance: settings.Bounds.ColdAllowance,
-		ColdPart: c.coldPart,
+		ColdPart:   c.coldPart,
+		LimitShare: c.limitShare,
 	})
 	c.config = c.newReplicator(adapter.Kinds.Configuration, 0, c.applyConfiguration)
 	c.targets = c.newReplicator(adapter.Kinds.Targets, 0, c.applyTargets)
@@ -130,7 +131,7 @@
 		Plan: c.promoter.Plan, Observe: c.observe,
 		RepeatRatio: settings.Bounds.RepeatRatio, RepeatAllowance: settings.Bounds.RepeatAllowance,
 	})
-	gather := gatherer.New(gatherer.Settings{Clock: clock, Send: c.sender.Send, Wait: c.sender.Wait})
+	gather := gatherer.New(gatherer.Settings{Clock: clock, Send: c.sender.Send, Wait: c.sender.Wait, ReturnAfter: c.sender.ReturnAfter})
 	c.receiver = receiver.New(receiver.Settings{
 		Names: adapter.Names, Clock: clock, Log: log, Recorder: rec,
 		Table: c.table.Load, Current: c.configurationCurrent, Leaving: c.leaving.Load, Memory: memory, Estimator: estimator.New(clock),
--- a/conductor/division.go
+++ b/conductor/division.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"math"
 	"slices"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"jujubegate.example/jujubegate"
 	"jujubegate.example/jujubegate/gossiper"
 )
@@ -21,6 +24,21 @@
 	// assigned to instances, one request each. The rest is a margin for instances
 	// that do not yet agree on which of them may send.
 	coldSenderPart = 2.0 / 3
+	// A target that names a limit may get in limitWindow at most limitFactor times
+	// what the limit allows plus limitAllowance requests, from all instances together.
+	limitWindow    = 4 * time.Second
+	limitFactor    = 1.5
+	limitAllowance = 5
+	// limitSenderPart is the fraction of the requests beyond the limit that is
+	// assigned to instances, as their bursts. The rest is a margin, as with
+	// coldSenderPart.
+	limitSenderPart = 2.0 / 3
+	// minLimitRate is the rate at which a target that takes nothing still gets
+	// requests, since only an answer shows that its limit has ended.
+	minLimitRate = 0.25
+	// limitKey ranks the instances that may send to targets with a limit. It is the
+	// same for all targets, since a query needs all its shards at one instance.
+	limitKey = "limit"
 	// startupPeriod is how long after its start an instance may not know all
 	// others. It covers two gossip rounds and the start of processes that are
 	// started together.
@@ -86,7 +104,24 @@
 // them send to the target. Instances with the same view of the fleet select the
 // same ones.
 func (d *division) coldPart(target string, spare float64) float64 {
-	senders := max(int(coldSenderPart*spare), 1)
+	return d.part(target, max(int(coldSenderPart*spare), 1))
+}
+
+// limitShare returns this instance's part of the limit that a target names: the
+// requests per second, and how many at once.
+func (d *division) limitShare(perSecond float64) (rate.Limit, int) {
+	perSecond = max(perSecond, minLimitRate)
+	burst := limitSenderPart * (perSecond*(limitFactor-1)*limitWindow.Seconds() + limitAllowance)
+	part := d.part(limitKey, max(int(min(burst, math.MaxInt32)), 1))
+	if part <= 0 {
+		return 0, 0
+	}
+	return rate.Limit(perSecond * part), max(int(min(burst*part, math.MaxInt32)), 1)
+}
+
+// part returns this instance's fraction of what a target may get if at most the
+// given number of instances may send to it.
+func (d *division) part(key string, senders int) float64 {
 	switch {
 	case d.startingUp || d.activeCount+d.passiveCount <= senders:
 		return d.share
@@ -94,7 +129,7 @@
 		return 0
 	case d.activeCount <= senders:
 		return 1 / float64(d.activeCount)
-	case gossiper.RankOf(target, d.self, d.active) < senders:
+	case gossiper.RankOf(key, d.self, d.active) < senders:
 		return 1 / float64(senders)
 	}
 	return 0
@@ -107,6 +142,10 @@
 	return c.division.Load().coldPart(target, spare)
 }
 
+func (c *Conductor) limitShare(perSecond float64) (rate.Limit, int) {
+	return c.division.Load().limitShare(perSecond)
+}
+
 // updateDivision recomputes the division of the shared limits from the live
 // instances and applies it to the tracker.
 func (c *Conductor) updateDivision() {
--- /dev/null
+++ b/conductor/limit_test.go
@@ -0,0 +1,112 @@
+package conductor
+
+import (
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"jujubegate.example/jujubegate/gossiper"
+)
+
+// limitSender is one instance with its token bucket for a target that names a limit.
+type limitSender struct {
+	bucket *rate.Limiter
+	// demand is the requests per second for the target at this instance.
+	demand float64
+}
+
+// sendersOf returns the buckets of all instances of a fleet for a limit. Callers send
+// demand requests per second to the active instances, unevenly if skewed is set.
+func sendersOf(fleet []gossiper.Peer, notLive int, limit, demand float64, skewed bool) []*limitSender {
+	active := gossiper.Active(fleet)
+	total := 0.0
+	senders := make([]*limitSender, 0, len(fleet))
+	for _, p := range fleet {
+		d := newDivision(p.Instance, fleet, notLive)
+		perSecond, burst := d.limitShare(limit)
+		s := &limitSender{bucket: rate.NewLimiter(perSecond, burst)}
+		for i := range active {
+			if active[i].Instance != p.Instance {
+				continue
+			}
+			if s.demand = 1; skewed {
+				s.demand = 1 / float64(1+i)
+			}
+		}
+		total += s.demand
+		senders = append(senders, s)
+	}
+	for _, s := range senders {
+		s.demand *= demand / total
+	}
+	return senders
+}
+
+func TestFleetExceedsNamedLimit(t *testing.T) {
+	// Guards against a sum of small parts and bursts that exceeds the limit of a
+	// target in a large fleet: with a burst of one request for each of 80 instances,
+	// a target that names 6 a second gets 104 in 4 s, 41 allowed.
+	cases := []struct {
+		name               string
+		instances, strong  int
+		notLive            int
+		limit, demand      float64
+		skewed             bool
+		leastUsed, seconds float64
+	}{
+		{"one instance", 1, 0, 0, 24, 100, false, 0.9, 40},
+		{"small fleet", 7, 0, 0, 24, 100, false, 0.9, 40},
+		{"small fleet, far below the load", 7, 0, 0, 6, 100, false, 0.9, 40},
+		{"small fleet, uneven demand", 7, 0, 0, 24, 100, true, 0.7, 40},
+		{"small fleet after losses", 7, 0, 2, 24, 100, false, 0.6, 40},
+		{"equal instances", 80, 0, 0, 6, 50, false, 0.3, 40},
+		{"strong and weak ones", 82, 20, 0, 6, 50, false, 0.5, 40},
+		{"large fleet", 195, 40, 0, 12, 50, false, 0.5, 40},
+		{"large fleet after losses", 195, 40, 30, 12, 50, false, 0.3, 40},
+		{"size of the design", 1200, 300, 0, 6, 180, false, 0.3, 40},
+		{"nothing", 195, 40, 0, 0, 50, false, 0, 40},
+		{"less than one in a window", 195, 40, 0, 0.1, 50, false, 0, 40},
+		{"above the demand", 82, 20, 0, 1e6, 50, false, 0, 40},
+		{"beyond all demand", 82, 20, 0, math.MaxFloat64, 50, false, 0, 40},
+	}
+	for _, c := range cases {
+		random := rand.New(rand.NewPCG(1, uint64(c.instances)))
+		senders := sendersOf(fleetOf(c.instances, c.strong), c.notLive, c.limit, c.demand, c.skewed)
+		const step = time.Millisecond
+		now := time.Unix(0, 0)
+		var sent []time.Time
+		asked := 0
+		for end := now.Add(time.Duration(c.seconds * float64(time.Second))); now.Before(end); now = now.Add(step) {
+			for _, s := range senders {
+				if random.Float64() >= s.demand*step.Seconds() {
+					continue
+				}
+				asked++
+				if s.bucket.AllowN(now, 1) {
+					sent = append(sent, now)
+				}
+			}
+		}
+		most, first := 0, 0
+		for i := range sent {
+			for sent[i].Sub(sent[first]) >= limitWindow {
+				first++
+			}
+			most = max(most, i-first+1)
+		}
+		allowed := limitFactor*c.limit*limitWindow.Seconds() + limitAllowance
+		if float64(most) > allowed {
+			t.Errorf("%s: %d requests in %v, allowed %.0f", c.name, most, limitWindow, allowed)
+		}
+		if used := float64(len(sent)) / (c.limit * c.seconds); used < c.leastUsed {
+			t.Errorf("%s: %.2f of the limit is used, want at least %.2f", c.name, used, c.leastUsed)
+		}
+		if c.limit > c.demand && len(sent) < asked {
+			t.Errorf("%s: %d of %d requests are withheld although the limit is above the demand", c.name, asked-len(sent), asked)
+		}
+		t.Logf("%s: at most %d in %v, allowed %.0f; %.2f of the limit used", c.name, most, limitWindow, allowed, float64(len(sent))/(c.limit*c.seconds))
+	}
+}
--- a/connector/pool.go
+++ b/connector/pool.go
@@ -52,6 +52,8 @@
 	// ErrRefusing is returned while there is no connection to the target and none
 	// may be opened, usually because the target reset the last ones.
 	ErrRefusing = errors.New("the target refuses new connections")
+	// ErrWithheld is returned if the condition of SendIf was not met.
+	ErrWithheld = errors.New("the target may get no further request now")
 )
 
 // BrokenError is the error of a request that was sent but not answered, and may
@@ -214,6 +216,14 @@
 // still read so that the connection can be reused. If it ends for any other
 // cause, the connection is closed, which cancels the request.
 func (p *Pool) Send(ctx context.Context, r *Request) (Answer, error) {
+	return p.SendIf(ctx, r, func() bool { return true })
+}
+
+// SendIf sends the request as Send does if permit, which is called once when there
+// is a connection for it, returns true. If not, the error wraps ErrNotSent and
+// ErrWithheld.
+func (p *Pool) SendIf(ctx context.Context, r *Request, permit func() bool) (Answer, error) {
+	permitted := false
 	for {
 		c, err := p.acquire(ctx, r.Fresh)
 		if err != nil {
@@ -223,6 +233,10 @@
 			p.release(c, true)
 			return Answer{}, errors.Join(ErrNotSent, ErrClosed)
 		}
+		if permitted = permitted || permit(); !permitted {
+			p.release(c, true)
+			return Answer{}, errors.Join(ErrNotSent, ErrWithheld)
+		}
 		e, err := c.start(r, p.settings.TargetID)
 		if err != nil {
 			// The connection ended while it was idle, so nothing was sent.
--- a/gatherer/gatherer.go
+++ b/gatherer/gatherer.go
@@ -30,6 +30,9 @@
 	Send func(ctx context.Context, c sender.Call) sender.CallResult
 	// Wait returns how long a request to a shard would wait.
 	Wait func(route *router.Route, shard jujubegate.Service) sender.Wait
+	// ReturnAfter returns after which time a caller that was rejected because of the
+	// wait at a shard should come back.
+	ReturnAfter func(shard jujubegate.Service, wait sender.Wait) time.Duration
 }
 
 // Gatherer answers queries over many shards. It is safe for concurrent use.
@@ -175,21 +178,24 @@
 
 // overloadDelay returns how long the caller should wait before a retry, or 0 if
 // the query can start. A query must not start if the floor cannot be reached
-// without shards that are overloaded or have only cold targets at their rate
-// limit. It would only delay the queries that are already at the targets and use
+// without shards that are overloaded or have only targets at the limit of their
+// start or at the one that they name. It would only delay the queries that are already at the targets and use
 // up the rate limit that the next query needs.
 func (g *Gatherer) overloadDelay(route *router.Route) time.Duration {
 	limit := time.Duration(maxQueueFraction * float64(route.Objective))
 	allowed := len(route.Gather.Shards) - requiredShards(route.Gather)
-	var longest time.Duration
+	var longest sender.Wait
+	var slowest jujubegate.Service
 	for _, shard := range route.Gather.Shards {
 		wait := g.settings.Wait(route, shard)
 		if wait.Queue <= limit && wait.Admission <= 0 {
 			continue
 		}
-		longest = max(longest, wait.Total())
+		if wait.Total() > longest.Total() {
+			longest, slowest = wait, shard
+		}
 		if allowed--; allowed < 0 {
-			return longest
+			return g.settings.ReturnAfter(slowest, longest)
 		}
 	}
 	return 0
--- a/gatherer/gatherer_test.go
+++ b/gatherer/gatherer_test.go
@@ -50,6 +50,8 @@
 
 const shardCount = 10
 
+func returnAfter(_ jujubegate.Service, w sender.Wait) time.Duration { return w.Total() }
+
 func uniformPlans(after time.Duration) []shardPlan {
 	plans := make([]shardPlan, shardCount)
 	for i := range plans {
@@ -120,7 +122,7 @@
 						Status: p.status, Signature: "s" + string(call.Service), Body: make([]byte, RecordBytes),
 					}}
 				}
-				g := New(Settings{Clock: clock, Send: send, Wait: func(*router.Route, jujubegate.Service) sender.Wait { return c.wait }})
+				g := New(Settings{Clock: clock, Send: send, Wait: func(*router.Route, jujubegate.Service) sender.Wait { return c.wait }, ReturnAfter: returnAfter})
 				route := &router.Route{Objective: 100 * ms, Gather: &router.Gather{Shards: shards, Top: 5, Floor: 0.8}}
 				start := time.Now()
 				r := g.Gather(t.Context(), Query{Request: &connector.Request{}, Route: route, Due: start.Add(80 * ms)})
@@ -175,7 +177,7 @@
 			}
 			return sender.CallResult{OK: true, Outcome: jujubegate.Ran, Attempts: make([]sender.Attempt, 1), Answer: connector.Answer{Status: 200, Signature: string(call.Service)}}
 		}
-		g := New(Settings{Clock: clockwork.NewRealClock(), Send: send, Wait: func(*router.Route, jujubegate.Service) sender.Wait { return sender.Wait{} }})
+		g := New(Settings{Clock: clockwork.NewRealClock(), Send: send, Wait: func(*router.Route, jujubegate.Service) sender.Wait { return sender.Wait{} }, ReturnAfter: returnAfter})
 		route := &router.Route{Objective: 100 * ms, Gather: &router.Gather{Shards: shards, Top: 5, Floor: 0.5}}
 		start := time.Now()
 		due := start.Add(50 * ms)
--- a/receiver/receiver.go
+++ b/receiver/receiver.go
@@ -288,7 +288,9 @@
 	result := e.settings.Send(ctx, sender.Call{Request: e.call, Route: e.route, Service: service, Due: e.due})
 	e.decidedAt = e.settings.Clock.Now()
 	if !result.OK {
-		e.refuse(refusalFor(result.Outcome, result.Reason), zap.String("Service", string(service)), zap.Array("Tries", attempts(result.Attempts)))
+		f := refusalFor(result.Outcome, result.Reason)
+		f.retryAfter = max(f.retryAfter, result.RetryAfter)
+		e.refuse(f, zap.String("Service", string(service)), zap.Array("Tries", attempts(result.Attempts)))
 		return
 	}
 	header := e.writer.Header()
--- a/sender/call.go
+++ b/sender/call.go
@@ -78,6 +78,8 @@
 	Attempts []Attempt
 	// Reason says why there is no answer if OK is not set.
 	Reason jujubegate.Reason
+	// RetryAfter is the time after which a retry can succeed; 0 if it is unknown.
+	RetryAfter time.Duration
 }
 
 // Success reports whether a target answered with a 2xx status and a signature.
--- a/sender/result.go
+++ b/sender/result.go
@@ -39,6 +39,9 @@
 	if errors.Is(err, connector.ErrNotSent) && (errors.Is(err, connector.ErrAbandoned) || isCancellation(err)) {
 		return balancer.Abandoned
 	}
+	if errors.Is(err, connector.ErrWithheld) {
+		return balancer.Abandoned
+	}
 	switch result {
 	case Answered:
 		if a.Status >= 500 {
--- a/sender/run.go
+++ b/sender/run.go
@@ -129,8 +129,8 @@
 	r.sent++
 	ctx, cancel := context.WithCancelCause(r.ctx)
 	r.cancels = append(r.cancels, cancel)
-	replica.Begin(now, kind != First)
-	go r.sendAttempt(ctx, len(r.attempts)-1, replica, now)
+	replica.Begin(now)
+	go r.sendAttempt(ctx, len(r.attempts)-1, kind, replica, now)
 	return ""
 }
 
@@ -155,12 +155,12 @@
 }
 
 // choose returns the target for the next attempt, or why there is none. It skips
-// cold targets at their rate limit. Targets that are unresponsive or have no
+// targets that are at the limit of their start or at the one that they name. Targets that are unresponsive or have no
 // free connection are a last resort, and a hedge is never sent to them.
 func (r *callState) choose(now time.Time, kind AttemptKind) (*tracker.Replica, jujubegate.Reason) {
 	replicas := r.candidates
 	options := make([]balancer.Option, 0, stackOptions)
-	var skip, lastResort, cold uint64
+	var skip, lastResort, exhausted uint64
 	silenceLimit := r.silenceLimit()
 	distance := time.Duration(distanceWeight * float64(r.latency.Typical()))
 	for i, replica := range replicas {
@@ -175,8 +175,8 @@
 		switch {
 		case r.wasAttempted(replica) || !replica.Usable(now):
 			skip |= 1 << i
-		case !replica.Admissible(now):
-			cold |= 1 << i
+		case !replica.Admissible(now) || kind == Hedge && !replica.MayRepeat(now):
+			exhausted |= 1 << i
 		case replica.SilentFor(now) > silenceLimit || !replica.Pool.HasCapacity():
 			lastResort |= 1 << i
 		}
@@ -185,7 +185,7 @@
 	if skip == all {
 		return nil, jujubegate.NoCoverage
 	}
-	if skip |= cold; skip == all {
+	if skip |= exhausted; skip == all {
 		return nil, jujubegate.Overloaded
 	}
 	if skip|lastResort != all {
@@ -213,8 +213,10 @@
 
 // sendAttempt sends the request to one target and delivers the result to the
 // loop.
-func (r *callState) sendAttempt(ctx context.Context, index int, replica *tracker.Replica, sentAt time.Time) {
-	answer, err := replica.Pool.Send(ctx, r.call.Request)
+func (r *callState) sendAttempt(ctx context.Context, index int, kind AttemptKind, replica *tracker.Replica, sentAt time.Time) {
+	answer, err := replica.Pool.SendIf(ctx, r.call.Request, func() bool {
+		return replica.Permit(r.sender.settings.Clock.Now(), kind != First)
+	})
 	now := r.sender.settings.Clock.Now()
 	took := now.Sub(sentAt)
 	result := classify(&answer, err)
@@ -279,6 +281,9 @@
 func reasonOf(c *completion) jujubegate.Reason {
 	switch c.result {
 	case NotSent:
+		if errors.Is(c.err, connector.ErrWithheld) {
+			return jujubegate.Overloaded
+		}
 		return jujubegate.TargetDown
 	case Refused:
 		return jujubegate.Shed
@@ -296,11 +301,15 @@
 }
 
 func (r *callState) noAnswer(reason jujubegate.Reason) CallResult {
-	outcome := jujubegate.NotRun
+	result := CallResult{Outcome: jujubegate.NotRun, Reason: reason, Attempts: r.attempts}
 	if r.mayHaveRun || r.inFlight > 0 || r.failure != nil {
-		outcome = jujubegate.Unknown
+		result.Outcome = jujubegate.Unknown
+		return result
+	}
+	if reason == jujubegate.Overloaded && r.call.Route.Gather == nil {
+		result.RetryAfter = r.sender.ReturnAfter(r.call.Service, r.sender.Wait(r.call.Route, r.call.Service))
 	}
-	return CallResult{Outcome: outcome, Reason: reason, Attempts: r.attempts}
+	return result
 }
 
 // interrupted returns the result of a call whose context has ended. A 5xx
--- a/sender/sender.go
+++ b/sender/sender.go
@@ -79,6 +79,7 @@
 	random    *rand.Rand
 	budgets   map[jujubegate.Service]*hedger.Allowance
 	latencies map[jujubegate.Route]*hedger.RouteLatency
+	returns   map[jujubegate.Service]*returns
 }
 
 // New returns a sender without latency samples.
@@ -91,6 +92,7 @@
 		random:    rand.New(rand.NewPCG(settings.Seed, 1)),
 		budgets:   make(map[jujubegate.Service]*hedger.Allowance),
 		latencies: make(map[jujubegate.Route]*hedger.RouteLatency),
+		returns:   make(map[jujubegate.Service]*returns),
 	}
 }
 
@@ -126,8 +128,12 @@
 // start it first.
 type Wait struct {
 	// Queue is the time in the queue of the target, and Admission the time until
-	// the rate limit of a cold target admits one more request.
+	// the rate limit of a cold target, or the limit that a target names, admits one
+	// more request.
 	Queue, Admission time.Duration
+	// PerSecond is the rate at which requests are admitted if all targets of the
+	// service name a limit; 0 if not.
+	PerSecond float64
 }
 
 // Total returns the sum of both times.
@@ -139,12 +145,19 @@
 	now := s.settings.Clock.Now()
 	typical := s.Latency(route.Name).Typical()
 	var shortest Wait
+	perSecond, allLimited := 0.0, true
 	for i, replica := range s.settings.Tracker.Replicas(service) {
+		part, limited := replica.LimitPart()
+		perSecond += part
+		allLimited = allLimited && limited
 		wait := Wait{Queue: time.Duration(replica.QueuePerSlot(now, maxLoadAge) * float64(typical)), Admission: replica.AdmitDelay(now)}
 		if i == 0 || wait.Total() < shortest.Total() {
 			shortest = wait
 		}
 	}
+	if allLimited {
+		shortest.PerSecond = perSecond
+	}
 	return shortest
 }
 
--- a/sender/sender_test.go
+++ b/sender/sender_test.go
@@ -15,6 +15,7 @@
 	. "github.com/smartystreets/goconvey/convey"
 	"go.uber.org/goleak"
 	"go.uber.org/zap"
+	"golang.org/x/time/rate"
 
 	"jujubegate.example/jujubegate"
 	"jujubegate.example/jujubegate/connector"
@@ -27,6 +28,8 @@
 const (
 	ms      = time.Millisecond
 	service = jujubegate.Service("s")
+	// limitBurst is how many requests may go at once to a target that names a limit.
+	limitBurst = 2
 )
 
 // behaviour returns the answer to one request; "" closes the connection.
@@ -59,7 +62,7 @@
 
 func newFixture(t *testing.T, allowance float64, targets ...behaviour) *fixture {
 	t.Helper()
-	names := &connector.HeaderNames{RequestID: "X-Id", Budget: "X-Budget", Signature: "X-Signature", ExpectTarget: "X-Expect", Load: "X-Load", NotRun: "X-Not-Run"}
+	names := &connector.HeaderNames{RequestID: "X-Id", Budget: "X-Budget", Signature: "X-Signature", ExpectTarget: "X-Expect", Load: "X-Load", NotRun: "X-Not-Run", Limit: "X-Limit"}
 	clock := clockwork.NewRealClock()
 	f := &fixture{}
 	// The answer to an abandoned request can outlast the test's calls.
@@ -67,6 +70,7 @@
 	t.Cleanup(serving.Wait)
 	targetTracker := tracker.New(tracker.Settings{
 		Clock: clock, Log: zap.NewNop(), Drain: 2 * time.Second, ColdPart: func(string, float64) float64 { return 1 },
+		LimitShare: func(perSecond float64) (rate.Limit, int) { return rate.Limit(perSecond), limitBurst },
 		NewPool: func(e tracker.Entry, bound int) *connector.Pool {
 			p := connector.New(connector.Settings{Target: e.Address, TargetID: e.ID, Names: names, Clock: clock}, 8)
 			t.Cleanup(p.Close)
--- a/tracker/limit.go
+++ b/tracker/limit.go
@@ -1,30 +1,42 @@
 package tracker
 
 import (
+	"math"
 	"time"
 
 	"go.uber.org/zap"
+	"golang.org/x/time/rate"
 
 	"jujubegate.example/jujubegate/connector"
 )
 
-// limitReportPeriod is the time between two log lines about the requests that a
-// target got while it named a limit.
-const limitReportPeriod = 4 * time.Second
+const (
+	// limitReportPeriod is the time between two log lines about the requests that a
+	// target got while it named a limit.
+	limitReportPeriod = 4 * time.Second
+	// limitLogRatio is the least ratio of two limits at which a change is logged. A
+	// target can name another one in each answer.
+	limitLogRatio = 1.1
+	// maxExcludedDelay bounds the delay of requests that other instances may send.
+	maxExcludedDelay = time.Second
+)
 
-// namedLimit is the limit that a target names, and what it got meanwhile.
+// namedLimit is the limit that a target names, with this instance's part of it.
 type namedLimit struct {
 	perSecond float64
+	// loggedPerSecond is the last one that was logged.
+	loggedPerSecond float64
 	// namedAt is when the last answer that names the limit was received.
 	namedAt time.Time
+	bucket  *rate.Limiter
 	counts  LimitCounts
 }
 
 // LimitCounts counts the requests of this instance to a target that names a limit.
 type LimitCounts struct {
 	// First and Repeats are those that were sent: first attempts, and hedges and
-	// retries.
-	First, Repeats int
+	// retries. Withheld ones exceeded the limit while they waited for a connection.
+	First, Repeats, Withheld int
 }
 
 // limitChange is what an answer changes about the limit of a target.
@@ -33,6 +45,7 @@
 const (
 	limitUnchanged limitChange = iota
 	limitNamed
+	limitChanged
 	limitEnded
 )
 
@@ -48,14 +61,15 @@
 	defer r.mu.Unlock()
 	switch {
 	case l.Valid && r.limit == nil:
-		r.limit = &namedLimit{perSecond: l.PerSecond, namedAt: now}
+		// The target has just had more than the limit, so the bucket starts empty.
+		r.limit = &namedLimit{perSecond: l.PerSecond, loggedPerSecond: l.PerSecond, namedAt: now, bucket: rate.NewLimiter(0, 0)}
 		r.limited.Store(true)
 		return limitNamed
 	case l.Valid:
 		changed := r.limit.perSecond != l.PerSecond
 		r.limit.perSecond, r.limit.namedAt = l.PerSecond, now
 		if changed {
-			return limitNamed
+			return limitChanged
 		}
 	case !l.Named && r.limit != nil && sentAt.After(r.limit.namedAt):
 		r.limit = nil
@@ -65,8 +79,32 @@
 	return limitUnchanged
 }
 
+// divideLimit sets this instance's part of the limit that the target names.
+func (r *Replica) divideLimit(share func(perSecond float64) (rate.Limit, int), now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.limit == nil {
+		return
+	}
+	perSecond, burst := share(r.limit.perSecond)
+	r.limit.bucket.SetLimitAt(now, perSecond)
+	r.limit.bucket.SetBurstAt(now, burst)
+}
+
+// logsLimit reports whether a change of the limit is large enough to be logged.
+func (r *Replica) logsLimit() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	l := r.limit
+	if l == nil || max(l.perSecond, l.loggedPerSecond) < limitLogRatio*min(l.perSecond, l.loggedPerSecond) {
+		return false
+	}
+	l.loggedPerSecond = l.perSecond
+	return true
+}
+
 // Limit returns the requests per second that the target takes from all instances
-// together, or false if it does not name a limit.
+// together, or false if it names no limit.
 func (r *Replica) Limit() (perSecond float64, ok bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -76,58 +114,122 @@
 	return r.limit.perSecond, true
 }
 
-// countLimited counts a request to the target if it names a limit.
-func (r *Replica) countLimited(repeat bool) {
+// LimitPart returns the requests per second that this instance may send to the
+// target because of the limit that the target names, or false if it names none.
+func (r *Replica) LimitPart() (perSecond float64, ok bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.limit == nil {
+		return 0, false
+	}
+	return float64(r.limit.bucket.Limit()), true
+}
+
+// delay returns how long a request would wait until this instance's part of the
+// limit has the tokens.
+func (l *namedLimit) delay(now time.Time, tokens float64) time.Duration {
+	missing := tokens - l.bucket.TokensAt(now)
+	switch {
+	case l.bucket.Burst() == 0:
+		// Another instance may get the next token of the whole fleet.
+		return time.Duration(float64(maxExcludedDelay) / max(l.perSecond, 1))
+	case missing <= 0:
+		return 0
+	}
+	return time.Duration(math.Ceil(missing / float64(l.bucket.Limit()) * float64(time.Second)))
+}
+
+// MayRepeat reports whether the limit that the target names allows a hedge now. One
+// token is left for a request that has no other attempt.
+func (r *Replica) MayRepeat(now time.Time) bool {
+	if !r.limited.Load() {
+		return true
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.limit == nil || r.limit.delay(now, 2) <= 0
+}
+
+// Permit reports whether a request may be written to the target now, and counts it.
+// It is asked when the request has a connection, since the target can name a limit
+// while the request waits for one. Repeat is set for a hedge or a retry.
+func (r *Replica) Permit(now time.Time, repeat bool) bool {
+	if !r.limited.Load() {
+		return true
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	switch {
 	case r.limit == nil:
+	case !r.limit.bucket.AllowN(now, 1):
+		r.limit.counts.Withheld++
+		return false
 	case repeat:
 		r.limit.counts.Repeats++
 	default:
 		r.limit.counts.First++
 	}
+	return true
 }
 
 // takeLimitCounts returns the requests since the last call.
-func (r *Replica) takeLimitCounts() (perSecond float64, c LimitCounts) {
+func (r *Replica) takeLimitCounts() (l namedLimit, ok bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.limit != nil {
-		perSecond, c, r.limit.counts = r.limit.perSecond, r.limit.counts, LimitCounts{}
+	if r.limit == nil {
+		return namedLimit{}, false
 	}
-	return perSecond, c
+	l = *r.limit
+	r.limit.counts = LimitCounts{}
+	return l, true
 }
 
 // ObserveLimit records what the answer of a target to a request sent at sentAt says
 // about its limit.
 func (t *Tracker) ObserveLimit(r *Replica, l connector.Limit, sentAt time.Time) {
-	e := r.Entry()
+	e, now := r.Entry(), t.settings.Clock.Now()
+	target := []zap.Field{zap.String("Target", e.ID), zap.String("Service", string(e.Service))}
 	if l.Named && !l.Valid {
-		t.settings.Log.Warn("tracker: limit of the target cannot be read", zap.String("Target", e.ID), zap.String("Service", string(e.Service)))
+		t.settings.Log.Warn("tracker: limit of the target cannot be read", target...)
 	}
-	switch r.observeLimit(l, sentAt, t.settings.Clock.Now()) {
-	case limitNamed:
-		t.settings.Log.Info("tracker: target names a limit", zap.String("Target", e.ID), zap.String("Service", string(e.Service)),
-			zap.Float64("PerSecond", l.PerSecond))
+	change := r.observeLimit(l, sentAt, now)
+	switch change {
+	case limitNamed, limitChanged:
+		r.divideLimit(t.settings.LimitShare, now)
+		if change == limitNamed || r.logsLimit() {
+			part, _ := r.LimitPart()
+			t.settings.Log.Info("tracker: target names a limit", append(target, zap.Float64("PerSecond", l.PerSecond), zap.Float64("Part", part))...)
+		}
 	case limitEnded:
-		t.settings.Log.Info("tracker: target names no limit any more", zap.String("Target", e.ID), zap.String("Service", string(e.Service)))
+		t.settings.Log.Info("tracker: target names no limit any more", target...)
+	}
+}
+
+// divideLimits sets this instance's part of the limits that targets name.
+func (t *Tracker) divideLimits() {
+	now := t.settings.Clock.Now()
+	for _, r := range t.replicas {
+		if r.limited.Load() {
+			r.divideLimit(t.settings.LimitShare, now)
+		}
 	}
 }
 
 // reportLimits logs what the targets that name a limit got since the last report.
 func (t *Tracker) reportLimits(now time.Time) {
-	if now.Sub(t.limitsReportedAt) < limitReportPeriod {
+	period := now.Sub(t.limitsReportedAt)
+	if period < limitReportPeriod {
 		return
 	}
-	period := now.Sub(t.limitsReportedAt)
 	t.limitsReportedAt = now
 	for id, r := range t.replicas {
-		if !r.limited.Load() {
+		l, ok := r.takeLimitCounts()
+		if !ok {
 			continue
 		}
-		perSecond, c := r.takeLimitCounts()
 		t.settings.Log.Info("tracker: requests to a target with a limit", zap.String("Target", id), zap.String("Service", string(r.Entry().Service)),
-			zap.Float64("PerSecond", perSecond), zap.Float64("Share", t.share), zap.Int("First", c.First), zap.Int("Repeats", c.Repeats),
-			zap.Duration("Period", period))
+			zap.Float64("PerSecond", l.perSecond), zap.Float64("Part", float64(l.bucket.Limit())), zap.Int("First", l.counts.First),
+			zap.Int("Repeats", l.counts.Repeats), zap.Int("Withheld", l.counts.Withheld), zap.Duration("Period", period))
 	}
 }
 
--- a/tracker/replica.go
+++ b/tracker/replica.go
@@ -72,15 +72,14 @@
 // may hold replicas that have become unusable since.
 func (r *Replica) Usable(now time.Time) bool { return !r.Pool.Expired(now) }
 
-// Begin records that an attempt is sent. Repeat is set for a hedge or a retry.
-func (r *Replica) Begin(now time.Time, repeat bool) {
+// Begin records that an attempt is sent.
+func (r *Replica) Begin(now time.Time) {
 	r.Stats.Begin()
 	r.mu.Lock()
 	if r.outstanding == 0 {
 		r.silentSince = now
 	}
 	r.outstanding++
-	r.countLimited(repeat)
 	r.mu.Unlock()
 }
 
@@ -171,13 +170,22 @@
 	return now.Before(r.coldUntil)
 }
 
-// Admissible reports whether Admit would admit a request.
+// Admissible reports whether Admit and Permit would admit a request.
 func (r *Replica) Admissible(now time.Time) bool { return r.AdmitDelay(now) <= 0 }
 
-// AdmitDelay returns how long a request would wait until Admit admits it.
+// AdmitDelay returns how long a request would wait until Admit and Permit admit it.
 func (r *Replica) AdmitDelay(now time.Time) time.Duration {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	delay := r.coldDelay(now)
+	if r.limit != nil {
+		delay = max(delay, r.limit.delay(now, 1))
+	}
+	return delay
+}
+
+// coldDelay returns how long a request would wait because the target is cold.
+func (r *Replica) coldDelay(now time.Time) time.Duration {
 	if !r.coldLimited(now) {
 		return 0
 	}
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"go.uber.org/zap"
+	"golang.org/x/time/rate"
 
 	"jujubegate.example/jujubegate"
 	"jujubegate.example/jujubegate/balancer"
@@ -38,6 +39,9 @@
 	// target may get; spare is how many of these per second may exceed the target's
 	// rate.
 	ColdPart func(target string, spare float64) float64
+	// LimitShare returns this instance's part of the limit that a target names: the
+	// requests per second and how many at once.
+	LimitShare func(perSecond float64) (rate.Limit, int)
 }
 
 // Tracker maintains the targets and their connections. It is safe for concurrent
@@ -114,6 +118,7 @@
 		t.updateConnectionBounds()
 	}
 	t.limitAllCold()
+	t.divideLimits()
 }
 
 // Update applies a new list of targets.
--- a/tracker/tracker_test.go
+++ b/tracker/tracker_test.go
@@ -8,6 +8,7 @@
 	"github.com/jonboulle/clockwork"
 	. "github.com/smartystreets/goconvey/convey"
 	"go.uber.org/zap"
+	"golang.org/x/time/rate"
 
 	"jujubegate.example/jujubegate"
 	"jujubegate.example/jujubegate/connector"
@@ -20,7 +21,7 @@
 func newTracker(clock jujubegate.Clock) *Tracker {
 	var t *Tracker
 	t = New(Settings{
-		Clock: clock, ColdPart: func(string, float64) float64 { return t.share }, Log: zap.NewNop(), Drain: drainTime, ColdFactor: 1.5, ColdAllowance: 5,
+		Clock: clock, ColdPart: func(string, float64) float64 { return t.share }, LimitShare: func(perSecond float64) (rate.Limit, int) { return rate.Limit(perSecond * t.share), 1 }, Log: zap.NewNop(), Drain: drainTime, ColdFactor: 1.5, ColdAllowance: 5,
 		NewPool: func(e Entry, bound int) *connector.Pool {
 			return connector.New(connector.Settings{Target: e.Address, TargetID: e.ID, Names: &connector.HeaderNames{}, Clock: clock}, bound)
 		},
