Let instances that may not send to a target find out that its limit ended

Where a limit is so low that only some instances may send to its target, the others hear no answer of it, so that they passed over a healthy target until the division changed (by reading; TestEndOfLimitIsMissed fails without this). They now forget the limit after 10 s and 4 s more for each rank, so that at most one of them tries in the time in which a target checks its limit (TestExcludedInstancesTryTogether). Ruled out: a small rate for each of them, since buckets that fill while nothing is asked add one request for each.

--- a/conductor/division.go
+++ b/conductor/division.go
@@ -10,6 +10,7 @@
 
 	"jujubegate.example/jujubegate"
 	"jujubegate.example/jujubegate/gossiper"
+	"jujubegate.example/jujubegate/tracker"
 )
 
 const (
@@ -36,6 +37,9 @@
 	// minLimitRate is the rate at which a target that takes nothing still gets
 	// requests, since only an answer shows that its limit has ended.
 	minLimitRate = 0.25
+	// limitForgetAfter is the least time after which an instance that may not send to
+	// a target tries whether its limit has ended.
+	limitForgetAfter = 10 * time.Second
 	// limitKey ranks the instances that may send to targets with a limit. It is the
 	// same for all targets, since a query needs all its shards at one instance.
 	limitKey = "limit"
@@ -107,16 +111,27 @@
 	return d.part(target, max(int(coldSenderPart*spare), 1))
 }
 
-// limitShare returns this instance's part of the limit that a target names: the
-// requests per second, and how many at once.
-func (d *division) limitShare(perSecond float64) (rate.Limit, int) {
+// limitShare returns this instance's part of the limit that a target names.
+func (d *division) limitShare(perSecond float64) tracker.LimitShare {
 	perSecond = max(perSecond, minLimitRate)
 	burst := limitSenderPart * (perSecond*(limitFactor-1)*limitWindow.Seconds() + limitAllowance)
-	part := d.part(limitKey, max(int(min(burst, math.MaxInt32)), 1))
+	senders := max(int(min(burst, math.MaxInt32)), 1)
+	part := d.part(limitKey, senders)
 	if part <= 0 {
-		return 0, 0
+		return tracker.LimitShare{ForgetAfter: d.forgetAfter(senders)}
 	}
-	return rate.Limit(perSecond * part), max(int(min(burst*part, math.MaxInt32)), 1)
+	return tracker.LimitShare{PerSecond: rate.Limit(perSecond * part), Burst: max(int(min(burst*part, math.MaxInt32)), 1)}
+}
+
+// forgetAfter returns after which time without an answer of the target this instance
+// takes its limit as ended, if at most the given number of instances may send to it.
+// The excluded instances try one after the other.
+func (d *division) forgetAfter(senders int) time.Duration {
+	excluded := d.activeCount + d.passiveCount
+	if d.isActive {
+		excluded = max(gossiper.RankOf(limitKey, d.self, d.active)-senders, 0)
+	}
+	return limitForgetAfter + time.Duration(excluded)*limitWindow
 }
 
 // part returns this instance's fraction of what a target may get if at most the
@@ -142,7 +157,7 @@
 	return c.division.Load().coldPart(target, spare)
 }
 
-func (c *Conductor) limitShare(perSecond float64) (rate.Limit, int) {
+func (c *Conductor) limitShare(perSecond float64) tracker.LimitShare {
 	return c.division.Load().limitShare(perSecond)
 }
 
--- a/conductor/limit_test.go
+++ b/conductor/limit_test.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -26,8 +27,8 @@
 	senders := make([]*limitSender, 0, len(fleet))
 	for _, p := range fleet {
 		d := newDivision(p.Instance, fleet, notLive)
-		perSecond, burst := d.limitShare(limit)
-		s := &limitSender{bucket: rate.NewLimiter(perSecond, burst)}
+		share := d.limitShare(limit)
+		s := &limitSender{bucket: rate.NewLimiter(share.PerSecond, share.Burst)}
 		for i := range active {
 			if active[i].Instance != p.Instance {
 				continue
@@ -110,3 +111,26 @@
 		t.Logf("%s: at most %d in %v, allowed %.0f; %.2f of the limit used", c.name, most, limitWindow, allowed, float64(len(sent))/(c.limit*c.seconds))
 	}
 }
+
+func TestExcludedInstancesTryTogether(t *testing.T) {
+	// Guards against instances that may not send to a target with a limit and all try
+	// at the same moment whether it has ended.
+	fleet := fleetOf(195, 40)
+	const limit = 6
+	var times []time.Duration
+	for _, p := range fleet {
+		d := newDivision(p.Instance, fleet, 0)
+		if share := d.limitShare(limit); share.Burst == 0 && d.isActive {
+			times = append(times, share.ForgetAfter)
+		}
+	}
+	slices.Sort(times)
+	if len(times) == 0 || times[0] < limitForgetAfter {
+		t.Fatalf("%d instances are excluded, the first tries after %v", len(times), times)
+	}
+	for i := 1; i < len(times); i++ {
+		if times[i]-times[i-1] < limitWindow {
+			t.Errorf("two instances try within %v", times[i]-times[i-1])
+		}
+	}
+}
--- a/tracker/limit.go
+++ b/tracker/limit.go
@@ -21,6 +21,17 @@
 	maxExcludedDelay = time.Second
 )
 
+// LimitShare is this instance's part of the limit that a target names.
+type LimitShare struct {
+	// PerSecond and Burst are the requests that this instance may send per second and
+	// at once; 0 if only other instances may send.
+	PerSecond rate.Limit
+	Burst     int
+	// ForgetAfter is the time without an answer that names the limit after which an
+	// instance that may not send takes it as ended: it does not hear of the end.
+	ForgetAfter time.Duration
+}
+
 // namedLimit is the limit that a target names, with this instance's part of it.
 type namedLimit struct {
 	perSecond float64
@@ -29,7 +40,9 @@
 	// namedAt is when the last answer that names the limit was received.
 	namedAt time.Time
 	bucket  *rate.Limiter
-	counts  LimitCounts
+	// forgetAfter is that of LimitShare; 0 if this instance may send.
+	forgetAfter time.Duration
+	counts      LimitCounts
 }
 
 // LimitCounts counts the requests of this instance to a target that names a limit.
@@ -80,15 +93,29 @@
 }
 
 // divideLimit sets this instance's part of the limit that the target names.
-func (r *Replica) divideLimit(share func(perSecond float64) (rate.Limit, int), now time.Time) {
+func (r *Replica) divideLimit(share func(perSecond float64) LimitShare, now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.limit == nil {
 		return
 	}
-	perSecond, burst := share(r.limit.perSecond)
-	r.limit.bucket.SetLimitAt(now, perSecond)
-	r.limit.bucket.SetBurstAt(now, burst)
+	s := share(r.limit.perSecond)
+	r.limit.bucket.SetLimitAt(now, s.PerSecond)
+	r.limit.bucket.SetBurstAt(now, s.Burst)
+	r.limit.forgetAfter = s.ForgetAfter
+}
+
+// forgetLimit ends the limit if this instance may not send to the target and has not
+// heard of the limit for too long.
+func (r *Replica) forgetLimit(now time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.limit == nil || r.limit.forgetAfter <= 0 || now.Sub(r.limit.namedAt) < r.limit.forgetAfter {
+		return false
+	}
+	r.limit = nil
+	r.limited.Store(false)
+	return true
 }
 
 // logsLimit reports whether a change of the limit is large enough to be logged.
@@ -215,6 +242,15 @@
 	}
 }
 
+// forgetLimits ends the limits that this instance cannot hear of any more.
+func (t *Tracker) forgetLimits(now time.Time) {
+	for id, r := range t.replicas {
+		if r.forgetLimit(now) {
+			t.settings.Log.Info("tracker: limit of the target is forgotten", zap.String("Target", id), zap.String("Service", string(r.Entry().Service)))
+		}
+	}
+}
+
 // reportLimits logs what the targets that name a limit got since the last report.
 func (t *Tracker) reportLimits(now time.Time) {
 	period := now.Sub(t.limitsReportedAt)
--- a/tracker/limit_test.go
+++ b/tracker/limit_test.go
@@ -53,3 +53,34 @@
 		}
 	}
 }
+
+func TestEndOfLimitIsMissed(t *testing.T) {
+	// Guards against an instance that may not send to a target with a limit, and so
+	// never hears that the limit has ended.
+	cases := []struct {
+		name  string
+		share float64
+		after time.Duration
+		ok    bool
+	}{
+		{"may send", 0.5, 2 * forgetAfter, true},
+		{"may not send", 0, forgetAfter - time.Second, true},
+		{"may not send, after a while", 0, forgetAfter + time.Second, false},
+	}
+	for _, c := range cases {
+		clock := clockwork.NewFakeClock()
+		tr := newTracker(clock)
+		tr.Update([]Entry{entry(0)}, Recency{})
+		tr.SetShare(c.share, 0)
+		r := tr.Replicas("s")[0]
+		tr.ObserveLimit(r, connector.Limit{Named: true, Valid: true, PerSecond: 4}, clock.Now())
+		if admitted := r.Admissible(clock.Now().Add(time.Second)); admitted != (c.share > 0) {
+			t.Errorf("%s: admitted %v", c.name, admitted)
+		}
+		clock.Advance(c.after)
+		tr.sweep()
+		if _, ok := r.Limit(); ok != c.ok {
+			t.Errorf("%s: limit known %v after %v, want %v", c.name, ok, c.after, c.ok)
+		}
+	}
+}
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -11,7 +11,6 @@
 	"time"
 
 	"go.uber.org/zap"
-	"golang.org/x/time/rate"
 
 	"jujubegate.example/jujubegate"
 	"jujubegate.example/jujubegate/balancer"
@@ -39,9 +38,8 @@
 	// target may get; spare is how many of these per second may exceed the target's
 	// rate.
 	ColdPart func(target string, spare float64) float64
-	// LimitShare returns this instance's part of the limit that a target names: the
-	// requests per second and how many at once.
-	LimitShare func(perSecond float64) (rate.Limit, int)
+	// LimitShare returns this instance's part of the limit that a target names.
+	LimitShare func(perSecond float64) LimitShare
 }
 
 // Tracker maintains the targets and their connections. It is safe for concurrent
@@ -160,6 +158,7 @@
 	now := t.settings.Clock.Now()
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.forgetLimits(now)
 	t.reportLimits(now)
 	removed := false
 	for id, r := range t.replicas {
--- a/tracker/tracker_test.go
+++ b/tracker/tracker_test.go
@@ -18,10 +18,20 @@
 // drainTime is how long leaving targets go on serving in these tests.
 const drainTime = 3 * time.Second
 
+// forgetAfter is when an instance forgets the limit of a target to which it may not
+// send.
+const forgetAfter = 10 * time.Second
+
 func newTracker(clock jujubegate.Clock) *Tracker {
 	var t *Tracker
 	t = New(Settings{
-		Clock: clock, ColdPart: func(string, float64) float64 { return t.share }, LimitShare: func(perSecond float64) (rate.Limit, int) { return rate.Limit(perSecond * t.share), 1 }, Log: zap.NewNop(), Drain: drainTime, ColdFactor: 1.5, ColdAllowance: 5,
+		Clock: clock, ColdPart: func(string, float64) float64 { return t.share }, LimitShare: func(perSecond float64) LimitShare {
+			if t.share == 0 {
+				return LimitShare{ForgetAfter: forgetAfter}
+			}
+			return LimitShare{PerSecond: rate.Limit(perSecond * t.share), Burst: 1}
+		},
+		Log: zap.NewNop(), Drain: drainTime, ColdFactor: 1.5, ColdAllowance: 5,
 		NewPool: func(e Entry, bound int) *connector.Pool {
 			return connector.New(connector.Settings{Target: e.Address, TargetID: e.ID, Names: &connector.HeaderNames{}, Clock: clock}, bound)
 		},
