--- a/replicator/replicator.go
+++ b/replicator/replicator.go
@@ -77,6 +77,8 @@
 	settings Settings
 	state    atomic.Pointer[State]
 	failing  atomic.Bool
+	// era is the one that the store named last.
+	era atomic.Int64
 
 	mu sync.Mutex
 	// confirmedAt is the Reading.At of the latest read of the store, by any instance,
@@ -146,6 +148,7 @@
 	if revision, _ := r.position(); revision > 0 {
 		c, err := r.settings.Source.Watch(ctx, r.settings.Kind, revision, wait)
 		if err == nil {
+			r.observeEra(c.Era)
 			r.Apply(revision, c, reading)
 			return nil
 		}
@@ -159,10 +162,19 @@
 	if err != nil {
 		return err
 	}
+	r.observeEra(l.Era)
 	r.Replace(l, reading)
 	return nil
 }
 
+// observeEra logs a change of the era that the store names.
+func (r *Replicator) observeEra(era int64) {
+	if last := r.era.Swap(era); last != era {
+		r.settings.Log.Info("replicator: store names another era", zap.String("Kind", r.settings.Kind), zap.Int64("Era", era), zap.Int64("Before", last),
+			zap.Int64("StateRevision", r.Revision()))
+	}
+}
+
 func (r *Replicator) recordRead() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -255,6 +267,8 @@
 	defer r.mu.Unlock()
 	old := r.state.Load()
 	if old != nil && l.Revision < old.Revision {
+		r.settings.Log.Warn("replicator: listing is older than the state, ignored", zap.String("Kind", r.settings.Kind), zap.Int64("Era", l.Era),
+			zap.Int64("Revision", l.Revision), zap.Int64("StateRevision", old.Revision), zap.Int("Objects", len(l.Objects)), zap.Bool("FromPeer", reading.FromPeer))
 		return
 	}
 	seenAt := r.confirmedAt
--- a/replicator/source.go
+++ b/replicator/source.go
@@ -20,7 +20,11 @@
 
 // Listing holds all objects of a kind at one revision of the store.
 type Listing struct {
-	Objects  []Object
+	Objects []Object
+	// Era is the era of the store; 0 if it is not known. It rises by one each time
+	// the store comes back from an older copy. Revisions of different eras are not
+	// related.
+	Era      int64
 	Revision int64
 }
 
@@ -32,7 +36,9 @@
 
 // Changes holds the changes of a kind up to a revision, oldest first.
 type Changes struct {
-	Changes  []Change
+	Changes []Change
+	// Era is as in Listing.
+	Era      int64
 	Revision int64
 }
 
