Order what the store says by its era before its revision

Cause: states were ordered by revision alone, which goes back with the copy and is given out again. Evidence: 1,472 listings at revision 65 were ignored by states at 66 in 4.5 s; once 66 had been given out again, a watch from there never told of the version written at 66. Ruled out: that the version was rejected (no listing was applied at all), and a fault of the take-over between readers (it follows from listings that confirm nothing). The calls without a pause came from reads that succeeded without any effect.

Class of fault: an order that is valid only as long as its source has one history. Positions are now an era and a revision, in states, confirmations, watches, listings of several pages, gossip and transfers between peers. In a new era each kind is listed, and what was known counts instead of the copy where its writer has said a later word: by version or by start and sequence where objects have one, else until it is written again or the time for that is over. Removals are remembered for a minute, so that the copy does not bring them back. Peers pass on what they keep, so that a new instance does not stay with the copy. Answers of an earlier era or revision are errors, after which the reader backs off.

--- a/conductor/adapter.go
+++ b/conductor/adapter.go
@@ -27,6 +27,9 @@
 	// object is not this deployment's configuration. Previous is the current
 	// table.
 	DecodeConfiguration func(o replicator.Object, previous *router.Table) (*router.Table, error)
+	// LaterConfiguration and LaterTarget report whether a is a later word of the
+	// writer of the object than b, whatever their revisions.
+	LaterConfiguration, LaterTarget func(a, b replicator.Object) bool
 	// DecodeTarget returns the target entry in an object, or an error that says
 	// why it holds none.
 	DecodeTarget func(o replicator.Object) (tracker.Entry, error)
--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -34,6 +34,12 @@
 	// movesPause is the same for moves. The delay is harmless because a new
 	// version starts with a small share of the requests.
 	movesPause = time.Second
+	// operatorRewriteTime is how long the operator may take to write again what the
+	// store lost when it came back from an older copy.
+	operatorRewriteTime = 15 * time.Second
+	// targetRewriteTime is the same for targets. The entry of one that is gone is
+	// removed after three missed writes, 1.2 s apart, and then read.
+	targetRewriteTime = 6 * time.Second
 	// convergeMargin is the part of Bounds.ConvergeMillis for which a route may have
 	// been in the store already when the configuration was last confirmed.
 	convergeMargin = 500 * time.Millisecond
@@ -104,10 +110,11 @@
 		ColdPart:   c.coldPart,
 		LimitShare: c.limitShare,
 	})
-	c.config = c.newReplicator(adapter.Kinds.Configuration, 0, c.applyConfiguration)
-	c.targets = c.newReplicator(adapter.Kinds.Targets, 0, c.applyTargets)
-	c.outOfService = c.newReplicator(adapter.Kinds.OutOfService, outOfServicePause, c.applyOutOfService)
-	c.moves = c.newReplicator(adapter.Kinds.Moves, movesPause, c.applyMoves)
+	operator := replicator.Rewriting{KeepMissing: true, Within: operatorRewriteTime}
+	c.config = c.newReplicator(adapter.Kinds.Configuration, 0, replicator.Rewriting{Later: adapter.LaterConfiguration, KeepMissing: true}, c.applyConfiguration)
+	c.targets = c.newReplicator(adapter.Kinds.Targets, 0, replicator.Rewriting{Later: adapter.LaterTarget, Within: targetRewriteTime}, c.applyTargets)
+	c.outOfService = c.newReplicator(adapter.Kinds.OutOfService, outOfServicePause, operator, c.applyOutOfService)
+	c.moves = c.newReplicator(adapter.Kinds.Moves, movesPause, operator, c.applyMoves)
 	c.reader = replicator.NewReader(clock, func() time.Duration {
 		return c.gossiper.ReadAfter(adapter.Kinds.Configuration, c.reader.Complete())
 	}, c.config, c.targets, c.outOfService, c.moves)
@@ -145,11 +152,15 @@
 
 // newReplicator returns a replicator of one kind of objects. It calls changed
 // with each new state and starts a gossip round if peers need to know.
-func (c *Conductor) newReplicator(kind string, pause time.Duration, changed func(*replicator.State)) *replicator.Replicator {
+func (c *Conductor) newReplicator(kind string, pause time.Duration, rewriting replicator.Rewriting, changed func(*replicator.State)) *replicator.Replicator {
 	return replicator.New(replicator.Settings{
-		Kind: kind, Source: c.adapter.Source, Clock: c.clock, Log: c.log, Pause: pause,
+		Kind: kind, Source: c.adapter.Source, Clock: c.clock, Log: c.log, Pause: pause, Rewriting: rewriting,
 		Changed: func(s *replicator.State) {
 			wasServing := c.serving()
+			if s.Restored {
+				// The store may have forgotten this instance.
+				c.registered.Store(false)
+			}
 			changed(s)
 			// Gossip at once if readiness changed, since peers advertise this
 			// instance to callers only while it serves, and if the state came from
@@ -223,7 +234,7 @@
 			delete(c.decodedTargets, name)
 		}
 	}
-	c.tracker.Update(entries, tracker.Recency{SeenAt: s.SeenAt, Gap: s.Gap.Length, GapEndedAt: s.Gap.EndedAt})
+	c.tracker.Update(entries, tracker.Recency{SeenAt: s.SeenAt, Gap: s.Gap.Length, GapEndedAt: s.Gap.EndedAt, Restored: s.Restored})
 }
 
 // applyOutOfService applies the list of data centres that are out of service.
--- a/gossiper/fetch.go
+++ b/gossiper/fetch.go
@@ -17,8 +17,9 @@
 // every 700 ms.
 const confirmationLag = 300 * time.Millisecond
 
-// Fetch returns the changes of a kind after the requested revision, or all of its
-// objects if the revision is 0 or the history does not reach back that far.
+// Fetch returns the changes of a kind after the requested position, or all of its
+// objects if the revision is 0, the era is another one or the history does not reach
+// back that far.
 func (g *Gossiper) Fetch(_ context.Context, r *connect.Request[wire.FetchRequest]) (*connect.Response[wire.FetchResponse], error) {
 	if r.Msg.Fleet != g.settings.Fleet {
 		return nil, connect.NewError(connect.CodeInvalidArgument, fmt.Errorf("fleet %q is not served here", r.Msg.Fleet))
@@ -29,23 +30,26 @@
 	}
 	// The age is read before the objects, which can only be newer.
 	age := ageMillis(held.Age())
-	if c, ok := held.Since(r.Msg.After); ok && r.Msg.After > 0 {
-		response := &wire.FetchResponse{Revision: c.Revision, AgeMs: age}
+	if c, ok := held.Since(replicator.Position{Era: r.Msg.AfterEra, Revision: r.Msg.After}); ok && r.Msg.After > 0 && r.Msg.After < c.Revision {
+		response := &wire.FetchResponse{Era: c.Era, Revision: c.Revision, AgeMs: age}
 		for _, change := range c.Changes {
 			response.Objects = append(response.Objects, toStoredObject(change.Object, change.Removed))
 		}
 		return connect.NewResponse(response), nil
 	}
-	s := held.State()
-	response := &wire.FetchResponse{Revision: s.Revision, AgeMs: age, Whole: true}
-	for _, o := range s.Objects {
+	l := held.Whole()
+	response := &wire.FetchResponse{Era: l.Era, Revision: l.Revision, AgeMs: age, Whole: true}
+	for _, o := range l.Objects {
 		response.Objects = append(response.Objects, toStoredObject(o, false))
 	}
+	for _, c := range l.Kept {
+		response.Kept = append(response.Kept, toStoredObject(c.Object, c.Removed))
+	}
 	return connect.NewResponse(response), nil
 }
 
 func toStoredObject(o replicator.Object, removed bool) *wire.StoredObject {
-	return &wire.StoredObject{Name: o.Name, Revision: o.Revision, Value: o.Value, Removed: removed}
+	return &wire.StoredObject{Name: o.Name, Revision: o.Revision, Created: o.Created, Value: o.Value, Removed: removed}
 }
 
 func (g *Gossiper) replicator(kind string) *replicator.Replicator {
@@ -69,6 +73,10 @@
 		if r == nil {
 			continue
 		}
+		age := time.Duration(h.AgeMs) * time.Millisecond
+		peer := replicator.Holding{Position: replicator.Position{Era: h.Era, Revision: h.Revision}, Age: age, Kept: int(h.Kept)}
+		// Asked without mu, which the replicator needs to report a state.
+		behind := r.Behind(peer)
 		g.mu.Lock()
 		if g.failing[h.Kind].Has(address) != h.Failing {
 			if h.Failing {
@@ -77,8 +85,7 @@
 				g.failing[h.Kind] = g.failing[h.Kind].Without(address)
 			}
 		}
-		behind := h.Revision > r.Revision() && !g.fetching[h.Kind]
-		if behind {
+		if behind = behind && !g.fetching[h.Kind]; behind {
 			g.fetching[h.Kind] = true
 		}
 		g.mu.Unlock()
@@ -86,13 +93,12 @@
 			go g.fetch(address, r)
 			continue
 		}
-		age := time.Duration(h.AgeMs) * time.Millisecond
 		if sentAt.IsZero() {
-			revision, ownAge := r.Holding()
-			fresher = fresher || revision == h.Revision && age+confirmationLag < ownAge
+			own := r.Holding()
+			fresher = fresher || own.Position == peer.Position && age+confirmationLag < own.Age
 			continue
 		}
-		r.Confirm(h.Revision, sentAt.Add(-age))
+		r.Confirm(peer.Position, sentAt.Add(-age))
 	}
 	return fresher
 }
@@ -106,29 +112,35 @@
 	}()
 	ctx, cancel := context.WithTimeout(context.Background(), fetchTimeout)
 	defer cancel()
-	after, sentAt := r.Revision(), g.settings.Clock.Now()
-	response, err := g.client(address).Fetch(ctx, connect.NewRequest(&wire.FetchRequest{Fleet: g.settings.Fleet, Kind: r.Kind(), After: after}))
+	after, sentAt := r.Position(), g.settings.Clock.Now()
+	response, err := g.client(address).Fetch(ctx, connect.NewRequest(&wire.FetchRequest{
+		Fleet: g.settings.Fleet, Kind: r.Kind(), After: after.Revision, AfterEra: after.Era,
+	}))
 	if err != nil {
 		g.settings.Log.Warn("gossiper: fetch failed", zap.String("Address", address), zap.String("Kind", r.Kind()), zap.Error(err))
 		return
 	}
 	m := response.Msg
+	position := replicator.Position{Era: m.Era, Revision: m.Revision}
 	reading := replicator.Reading{At: sentAt.Add(-time.Duration(m.AgeMs) * time.Millisecond), FromPeer: true}
 	if m.Whole {
-		l := replicator.Listing{Revision: m.Revision}
+		l := replicator.Listing{Position: position}
 		for _, o := range m.Objects {
 			l.Objects = append(l.Objects, fromStoredObject(o))
 		}
+		for _, o := range m.Kept {
+			l.Kept = append(l.Kept, replicator.Change{Object: fromStoredObject(o), Removed: o.Removed})
+		}
 		r.Replace(l, reading)
 		return
 	}
-	c := replicator.Changes{Revision: m.Revision}
+	c := replicator.Changes{Position: position}
 	for _, o := range m.Objects {
 		c.Changes = append(c.Changes, replicator.Change{Object: fromStoredObject(o), Removed: o.Removed})
 	}
-	r.Apply(after, c, reading)
+	r.Apply(after.Revision, c, reading)
 }
 
 func fromStoredObject(o *wire.StoredObject) replicator.Object {
-	return replicator.Object{Name: o.Name, Revision: o.Revision, Value: o.Value}
+	return replicator.Object{Name: o.Name, Revision: o.Revision, Created: o.Created, Value: o.Value}
 }
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -274,8 +274,10 @@
 func (g *Gossiper) holdings() []*wire.Holding {
 	held := make([]*wire.Holding, 0, len(g.settings.Replicators))
 	for _, r := range g.settings.Replicators {
-		revision, age := r.Holding()
-		held = append(held, &wire.Holding{Kind: r.Kind(), Revision: revision, AgeMs: ageMillis(age), Failing: r.Failing()})
+		h := r.Holding()
+		held = append(held, &wire.Holding{
+			Kind: r.Kind(), Era: h.Era, Revision: h.Revision, Kept: int64(h.Kept), AgeMs: ageMillis(h.Age), Failing: r.Failing(),
+		})
 	}
 	return held
 }
--- a/replicator/reader.go
+++ b/replicator/reader.go
@@ -69,6 +69,7 @@
 func (rd *Reader) Run(ctx context.Context) {
 	backoff := minBackoff
 	for ctx.Err() == nil {
+		rd.endRewriting()
 		if delay := rd.readAfter() - rd.Age(); delay > 0 {
 			rd.sleep(ctx, min(delay, readCheckPeriod))
 			continue
@@ -90,21 +91,30 @@
 
 // read watches the lead, then reads the other kinds that may have changed.
 func (rd *Reader) read(ctx context.Context) error {
-	if err := rd.lead.read(ctx, watchWait); err != nil {
+	if err := rd.lead.read(ctx, watchWait, 0); err != nil {
 		return fmt.Errorf("read %s: %w", rd.lead.Kind(), err)
 	}
-	revision, at := rd.lead.position()
+	position, at := rd.lead.position()
 	for _, r := range rd.others {
-		if r.confirmAt(revision, at) || r.withinPause() {
+		if r.confirmAt(position, at) || r.withinPause() {
 			continue
 		}
-		if err := r.read(ctx, followWait); err != nil {
+		if err := r.read(ctx, followWait, position.Era); err != nil {
 			return fmt.Errorf("read %s: %w", r.Kind(), err)
 		}
 	}
 	return nil
 }
 
+// endRewriting ends the time in which what was known before the store came back from
+// an older copy counts.
+func (rd *Reader) endRewriting() {
+	rd.lead.endRewriting()
+	for _, r := range rd.others {
+		r.endRewriting()
+	}
+}
+
 func (rd *Reader) sleep(ctx context.Context, d time.Duration) {
 	select {
 	case <-rd.clock.After(d):
--- a/replicator/replicator.go
+++ b/replicator/replicator.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"maps"
 	"slices"
 	"sync"
@@ -37,14 +38,16 @@
 	// Pause is the minimum time between two reads. One read, which is a billed call,
 	// then returns all changes that accumulated in the pause.
 	Pause time.Duration
+	// Rewriting says what counts after the store came back from an older copy.
+	Rewriting Rewriting
 	// Changed is called with each new state, never concurrently.
 	Changed func(*State)
 }
 
-// State holds the objects of a kind at a revision. It is immutable.
+// State holds the objects of a kind at a position of the store. It is immutable.
 type State struct {
-	Revision int64
-	Objects  map[string]Object
+	Position
+	Objects map[string]Object
 	// FromPeer is set if the state came from a peer.
 	FromPeer bool
 	// SeenAt is when the previous state was last confirmed. Objects that are missing
@@ -52,6 +55,9 @@
 	SeenAt time.Time
 	// Gap is the latest gap; zero if there was none recently.
 	Gap Gap
+	// Restored is set for the first state after the store came back from an older
+	// copy, in which objects can be missing although their owners are live.
+	Restored bool
 }
 
 // Reading says how the content of a state or a confirmation became known.
@@ -77,8 +83,6 @@
 	settings Settings
 	state    atomic.Pointer[State]
 	failing  atomic.Bool
-	// era is the one that the store named last.
-	era atomic.Int64
 
 	mu sync.Mutex
 	// confirmedAt is the Reading.At of the latest read of the store, by any instance,
@@ -89,9 +93,15 @@
 	// history holds the latest changes; historyStart is the revision before them.
 	history      []historyEntry
 	historyStart int64
-	// cursor is the revision of the store up to which changes have been applied, also
-	// if there were none of this kind.
+	// cursor is the revision of the store, in the era of the state, up to which changes
+	// have been applied, also if there were none of this kind.
 	cursor int64
+	// stored holds the objects in the store, overrides what counts instead of them by
+	// name, and removed the objects that were removed lately.
+	stored     map[string]Object
+	overrides  map[string]override
+	removed    map[string]removal
+	eraBeganAt time.Time
 	// readAt is when this instance last read the kind from the store.
 	readAt time.Time
 }
@@ -104,7 +114,11 @@
 
 // New returns a replicator without a state.
 func New(settings Settings) *Replicator {
-	return &Replicator{settings: settings, confirmedAt: settings.Clock.Now()}
+	now := settings.Clock.Now()
+	return &Replicator{
+		settings: settings, confirmedAt: now, eraBeganAt: now,
+		stored: make(map[string]Object), overrides: make(map[string]override), removed: make(map[string]removal),
+	}
 }
 
 // Kind returns the kind of the objects.
@@ -121,58 +135,92 @@
 	return 0
 }
 
+// Position returns the position of the newest state; zero before the first one.
+func (r *Replicator) Position() Position {
+	if s := r.state.Load(); s != nil {
+		return s.Position
+	}
+	return Position{}
+}
+
 // Age returns the time since some instance last read the store and found nothing
 // newer than the state. It is never too short, but too long by the time that calls
 // to the store and to peers took.
 func (r *Replicator) Age() time.Duration {
-	_, age := r.Holding()
-	return age
+	return r.Holding().Age
+}
+
+// Holding describes the newest state.
+type Holding struct {
+	Position
+	Age time.Duration
+	// Kept is the number of objects for which the state differs from the store, as
+	// this came back from an older copy; 0 if the time for that is over.
+	Kept int
+}
+
+// Holding describes the newest state. The position is zero before the first one.
+func (r *Replicator) Holding() Holding {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return Holding{r.Position(), r.settings.Clock.Now().Sub(r.confirmedAt), len(r.overrides)}
 }
 
-// Holding returns the revision of the newest state, as Revision does, and its age.
-func (r *Replicator) Holding() (int64, time.Duration) {
+// Behind reports whether a peer with the given holding has objects that are missing
+// here.
+func (r *Replicator) Behind(peer Holding) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.Revision(), r.settings.Clock.Now().Sub(r.confirmedAt)
+	own := r.Position()
+	position := peer.Position.in(own.Era)
+	return own.Before(position) || own == position && peer.Kept > len(r.overrides) && !r.rewritingOver()
 }
 
 // Failing reports whether this instance's last call to the store failed.
 func (r *Replicator) Failing() bool { return r.failing.Load() }
 
 // read makes one billed call: a watch that waits at most the given time for changes,
-// or a listing if there is no state yet. If the store no longer holds the history,
-// a listing follows the watch.
-func (r *Replicator) read(ctx context.Context, wait time.Duration) error {
+// or a listing if there is no state in the store's era yet. If the store no longer
+// holds the history or has begun another era, a listing follows the watch.
+func (r *Replicator) read(ctx context.Context, wait time.Duration, era int64) error {
 	defer r.recordRead()
-	reading := Reading{At: r.settings.Clock.Now()}
-	if revision, _ := r.position(); revision > 0 {
-		c, err := r.settings.Source.Watch(ctx, r.settings.Kind, revision, wait)
-		if err == nil {
-			r.observeEra(c.Era)
-			r.Apply(revision, c, reading)
-			return nil
-		}
-		if !errors.Is(err, ErrHistoryGone) {
+	if p, _ := r.position(); p.Revision > 0 && era <= p.Era {
+		done, err := r.watch(ctx, p, wait)
+		if done || err != nil {
 			return err
 		}
-		r.settings.Log.Info("replicator: store no longer holds the history, listing all objects", zap.String("Kind", r.settings.Kind), zap.Int64("Revision", revision))
 	}
-	reading.At = r.settings.Clock.Now()
+	reading := Reading{At: r.settings.Clock.Now()}
 	l, err := r.settings.Source.List(ctx, r.settings.Kind)
 	if err != nil {
 		return err
 	}
-	r.observeEra(l.Era)
+	if own := r.Position(); l.Position.in(own.Era).Before(own) {
+		return fmt.Errorf("%w: listing at era %d, revision %d, and the state is at era %d, revision %d", ErrOutdated, l.Era, l.Revision, own.Era, own.Revision)
+	}
 	r.Replace(l, reading)
 	return nil
 }
 
-// observeEra logs a change of the era that the store names.
-func (r *Replicator) observeEra(era int64) {
-	if last := r.era.Swap(era); last != era {
-		r.settings.Log.Info("replicator: store names another era", zap.String("Kind", r.settings.Kind), zap.Int64("Era", era), zap.Int64("Before", last),
-			zap.Int64("StateRevision", r.Revision()))
+// watch watches the store from a position and applies the changes. It returns false
+// if the kind must be listed.
+func (r *Replicator) watch(ctx context.Context, from Position, wait time.Duration) (done bool, err error) {
+	reading := Reading{At: r.settings.Clock.Now()}
+	c, err := r.settings.Source.Watch(ctx, r.settings.Kind, from.Revision, wait)
+	switch era := c.Position.in(from.Era).Era; {
+	case errors.Is(err, ErrHistoryGone):
+		r.settings.Log.Info("replicator: store no longer holds the history, listing all objects", zap.String("Kind", r.settings.Kind), zap.Int64("Revision", from.Revision))
+		return false, nil
+	case err != nil:
+		return false, err
+	case era > from.Era:
+		// The revision from which it was watched is another one in this era.
+		return false, nil
+	case era < from.Era:
+		return false, fmt.Errorf("%w: changes of era %d, and the state is of era %d", ErrOutdated, era, from.Era)
 	}
+	r.Apply(from.Revision, c, reading)
+	return true, nil
 }
 
 func (r *Replicator) recordRead() {
@@ -189,28 +237,29 @@
 	return r.state.Load() != nil && r.settings.Clock.Now().Sub(r.readAt) < r.settings.Pause
 }
 
-// position returns the revision up to which the state is known to be current, and
-// since when; 0 without a state.
-func (r *Replicator) position() (int64, time.Time) {
+// position returns the position up to which the state is known to be current, and
+// since when; a zero one without a state.
+func (r *Replicator) position() (Position, time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return r.positionLocked(), r.confirmedAt
 }
 
-// positionLocked returns the revision of position. The caller holds mu.
-func (r *Replicator) positionLocked() int64 {
-	if r.state.Load() == nil {
-		return 0
+// positionLocked returns the position of position. The caller holds mu.
+func (r *Replicator) positionLocked() Position {
+	p := r.Position()
+	if r.state.Load() != nil {
+		p.Revision = max(p.Revision, r.cursor)
 	}
-	return max(r.cursor, r.Revision())
+	return p
 }
 
-// confirmAt records that the store was at a revision at the given time. It returns
-// false if the state is not known to be current at that revision.
-func (r *Replicator) confirmAt(revision int64, at time.Time) bool {
+// confirmAt records that the store was at a position at the given time. It returns
+// false if the state is not known to be current at that position.
+func (r *Replicator) confirmAt(p Position, at time.Time) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.state.Load() == nil || r.positionLocked() < revision {
+	if own := r.positionLocked(); r.state.Load() == nil || own.Era != p.Era || own.Revision < p.Revision {
 		return false
 	}
 	r.confirm(at)
@@ -230,12 +279,12 @@
 	}
 }
 
-// Confirm records that a peer's state at a revision was confirmed at the given time.
-// It has no effect if the state here has another revision.
-func (r *Replicator) Confirm(revision int64, at time.Time) {
+// Confirm records that a peer's state at a position was confirmed at the given time.
+// It has no effect if the state here has another position.
+func (r *Replicator) Confirm(p Position, at time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.state.Load() != nil && revision == r.Revision() {
+	if own := r.Position(); r.state.Load() != nil && p.in(own.Era) == own {
 		r.confirm(at)
 	}
 }
@@ -266,9 +315,13 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	old := r.state.Load()
-	if old != nil && l.Revision < old.Revision {
-		r.settings.Log.Warn("replicator: listing is older than the state, ignored", zap.String("Kind", r.settings.Kind), zap.Int64("Era", l.Era),
-			zap.Int64("Revision", l.Revision), zap.Int64("StateRevision", old.Revision), zap.Int("Objects", len(l.Objects)), zap.Bool("FromPeer", reading.FromPeer))
+	position := l.Position
+	if old != nil {
+		position = position.in(old.Era)
+	}
+	if old != nil && position.Before(old.Position) {
+		r.settings.Log.Info("replicator: listing is older than the state, ignored", zap.String("Kind", r.settings.Kind), zap.Int64("Era", l.Era),
+			zap.Int64("Revision", l.Revision), zap.Int64("StateEra", old.Era), zap.Int64("StateRevision", old.Revision), zap.Bool("FromPeer", reading.FromPeer))
 		return
 	}
 	seenAt := r.confirmedAt
@@ -277,24 +330,46 @@
 		r.confirmedAt = reading.At
 	}
 	r.confirm(reading.At)
-	if old != nil && l.Revision == old.Revision {
+	if old != nil && position == old.Position {
+		if r.adopt(l.Kept) {
+			r.publish(&State{Position: position, FromPeer: reading.FromPeer, SeenAt: seenAt})
+		}
 		return
 	}
-	objects := make(map[string]Object, len(l.Objects))
+	stored := make(map[string]Object, len(l.Objects))
 	for _, o := range l.Objects {
-		objects[o.Name] = o
+		stored[o.Name] = o
+	}
+	restored := old != nil && old.Era > 0 && position.Era > old.Era
+	if restored {
+		r.beginEra(old, stored, position, reading.FromPeer)
+		r.cursor = 0
+	} else {
+		for name, o := range r.stored {
+			if _, ok := stored[name]; !ok {
+				r.remember(o)
+			}
+		}
 	}
+	r.stored = stored
+	if !restored {
+		for name := range r.overrides {
+			r.reviewOverride(name)
+		}
+	}
+	r.adopt(l.Kept)
 	r.history, r.historyStart = nil, l.Revision
-	r.publish(&State{Revision: l.Revision, Objects: objects, FromPeer: reading.FromPeer, SeenAt: seenAt})
+	r.publish(&State{Position: position, FromPeer: reading.FromPeer, SeenAt: seenAt, Restored: restored})
 }
 
-// Apply applies the changes after a revision. They are ignored if the state has not
-// reached that revision; applying changes again has no effect.
+// Apply applies the changes after a revision of their era. They are ignored if the
+// state is of another era or has not reached that revision; applying changes again has
+// no effect.
 func (r *Replicator) Apply(after int64, c Changes, reading Reading) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	old := r.state.Load()
-	if old == nil || after > max(old.Revision, r.cursor) || c.Revision < old.Revision {
+	if old == nil || c.Position.in(old.Era).Era != old.Era || after > max(old.Revision, r.cursor) || c.Revision < old.Revision {
 		return
 	}
 	seenAt := r.confirmedAt
@@ -305,16 +380,12 @@
 		// its own, so that peers do not fetch it again.
 		return
 	}
-	objects := maps.Clone(old.Objects)
+	r.stored = maps.Clone(r.stored)
 	for _, change := range c.Changes {
-		if change.Removed {
-			delete(objects, change.Object.Name)
-			continue
-		}
-		objects[change.Object.Name] = change.Object
+		r.setStored(change.Object, change.Removed)
 	}
 	r.appendHistory(c)
-	r.publish(&State{Revision: c.Revision, Objects: objects, FromPeer: reading.FromPeer, SeenAt: seenAt})
+	r.publish(&State{Position: Position{old.Era, c.Revision}, FromPeer: reading.FromPeer, SeenAt: seenAt})
 }
 
 // appendHistory adds changes to the history and drops the oldest entries beyond
@@ -331,28 +402,51 @@
 	}
 }
 
-// Since returns the changes after a revision, or false if the history does not
-// reach back to it.
-func (r *Replicator) Since(revision int64) (Changes, bool) {
+// Since returns the changes after a position, or false if it is of another era or the
+// history does not reach back to it.
+func (r *Replicator) Since(p Position) (Changes, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	state := r.state.Load()
-	if state == nil || revision < r.historyStart {
+	if state == nil || p.in(state.Era).Era != state.Era || p.Revision < r.historyStart {
 		return Changes{}, false
 	}
-	c := Changes{Revision: state.Revision}
+	c := Changes{Position: state.Position}
 	for _, s := range r.history {
-		if s.revision > revision {
+		if s.revision > p.Revision {
 			c.Changes = append(c.Changes, s.changes...)
 		}
 	}
 	return c, true
 }
 
+// Whole returns what the store holds and what counts instead of it, for a peer.
+func (r *Replicator) Whole() Listing {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	l := Listing{Position: r.Position()}
+	for _, o := range r.stored {
+		l.Objects = append(l.Objects, o)
+	}
+	for _, o := range r.overrides {
+		l.Kept = append(l.Kept, Change{Object: o.known, Removed: o.removed})
+	}
+	return l
+}
+
+// publish completes a state and reports it. The caller holds mu.
 func (r *Replicator) publish(s *State) {
+	s.Objects = r.stored
+	if len(r.overrides) > 0 {
+		s.Objects = r.effective()
+	}
 	s.Gap = r.recentGap()
+	if s.Restored {
+		s.Gap.EndedAt = r.settings.Clock.Now()
+	}
 	r.state.Store(s)
 	r.settings.Log.Info("replicator: state applied", zap.String("Kind", r.settings.Kind),
-		zap.Int64("Revision", s.Revision), zap.Int("Objects", len(s.Objects)), zap.Bool("FromPeer", s.FromPeer), zap.Duration("Gap", s.Gap.Length))
+		zap.Int64("Era", s.Era), zap.Int64("Revision", s.Revision), zap.Int("Objects", len(s.Objects)), zap.Int("Kept", len(r.overrides)),
+		zap.Bool("FromPeer", s.FromPeer), zap.Duration("Gap", s.Gap.Length))
 	r.settings.Changed(s)
 }
--- a/replicator/source.go
+++ b/replicator/source.go
@@ -6,26 +6,33 @@
 	"time"
 )
 
-// ErrHistoryGone is returned by Watch if the store no longer holds the changes
-// since the revision. The other errors of a Source are those of package storer.
-var ErrHistoryGone = errors.New("the store no longer holds the history")
+// Errors of a Source besides those of package storer.
+var (
+	// ErrHistoryGone is returned by Watch if the store no longer holds the changes
+	// since the revision.
+	ErrHistoryGone = errors.New("the store no longer holds the history")
+	// ErrOutdated is returned for an answer of the store that is older than what it
+	// answered before.
+	ErrOutdated = errors.New("the store's answer is outdated")
+)
 
 // Object is one object of the store.
 type Object struct {
 	Name string
-	// Revision is the revision of the store at the object's last change.
+	// Revision is the revision of the store at the object's last change, and Created
+	// the one at its creation.
 	Revision int64
+	Created  int64
 	Value    []byte
 }
 
-// Listing holds all objects of a kind at one revision of the store.
+// Listing holds all objects of a kind at one position of the store.
 type Listing struct {
 	Objects []Object
-	// Era is the era of the store; 0 if it is not known. It rises by one each time
-	// the store comes back from an older copy. Revisions of different eras are not
-	// related.
-	Era      int64
-	Revision int64
+	// Kept are the objects of earlier eras that count instead of those in the store,
+	// and removals of such objects. Only peers report them.
+	Kept []Change
+	Position
 }
 
 // Change is the new value of an object, or its removal.
@@ -34,16 +41,14 @@
 	Removed bool
 }
 
-// Changes holds the changes of a kind up to a revision, oldest first.
+// Changes holds the changes of a kind up to a position, oldest first.
 type Changes struct {
 	Changes []Change
-	// Era is as in Listing.
-	Era      int64
-	Revision int64
+	Position
 }
 
 // Source gives access to the platform's store. An adapter or a test sets the
-// functions.
+// functions. An era of 0 in their results means that it is not known.
 type Source struct {
 	// List returns all objects of a kind.
 	List func(ctx context.Context, kind string) (Listing, error)
--- a/tracker/lapse.go
+++ b/tracker/lapse.go
@@ -24,6 +24,9 @@
 	// GapEndedAt; zero if there was none.
 	Gap        time.Duration
 	GapEndedAt time.Time
+	// Restored is set if the store came back from an older copy at GapEndedAt, which
+	// can lack the entries of live targets.
+	Restored bool
 }
 
 // retainMissing decides how long targets that are missing in a list may still be
@@ -32,7 +35,7 @@
 // the cause if the gap was at least as long as a leaving target goes on serving, or
 // if there was a gap and at least half of the entries are missing after it.
 func (t *Tracker) retainMissing(missing []*Replica, listed int, recency Recency) {
-	outage := recency.Gap >= t.settings.Drain || recency.Gap > 0 && len(missing) >= listed
+	outage := recency.Restored || recency.Gap >= t.settings.Drain || recency.Gap > 0 && len(missing) >= listed
 	for _, r := range missing {
 		if outage {
 			r.usableUntil, r.probablyGone = recency.GapEndedAt.Add(reappearTime), false
