Do not take a move up again when the store forgets its state

Found while looking for the same cause elsewhere: the state of a move to a version is written by the instances, and a store that comes back from an older copy can lack it. A completed move was then under way again (the old version, whose targets have stopped, got most of the requests), and since the time from which instances wait by rank was long over, all of them wrote the state at once, every 300 ms while that failed.

A final state that the store has confirmed once remains for the same version, the ranks wait again from the moment at which the state was forgotten, and a failed write backs off up to 5 s. After: one write, and the share of the version does not change.

--- a/promoter/promoter.go
+++ b/promoter/promoter.go
@@ -32,6 +32,8 @@
 	// rankDelay is how much longer each instance waits before it writes a state
 	// than the one before it in rank.
 	rankDelay = 600 * time.Millisecond
+	// maxWriteBackoff bounds the time between two attempts to write a state.
+	maxWriteBackoff = 5 * time.Second
 	// writeTimeout bounds writing a state.
 	writeTimeout = 2 * time.Second
 )
@@ -88,10 +90,17 @@
 	Move
 	// requestedAt is the earliest time at which the move can have been requested.
 	requestedAt time.Time
-	// decided is the state that this instance decided on at decidedAt, or the
-	// final state in the store.
-	decided   State
-	decidedAt time.Time
+	// decided is the state that this instance decided on, or the final state in the
+	// store.
+	decided State
+	// confirmed is the final state that the store has confirmed, also if it has
+	// forgotten it since; Running if there was none.
+	confirmed State
+	// dueAt is when the first instance in rank must write the state, and notBefore
+	// when this instance may try again after a failure, which backs off.
+	dueAt     time.Time
+	notBefore time.Time
+	backoff   time.Duration
 }
 
 // New returns a promoter without moves.
@@ -109,15 +118,21 @@
 		listed[next.Service] = struct{}{}
 		m := p.moves[next.Service]
 		if m == nil || m.Version != next.Version {
-			m = &move{requestedAt: earliest}
+			m = &move{requestedAt: earliest, dueAt: earliest}
 			p.moves[next.Service] = m
 			p.evidence.reset(next.Service)
 			p.settings.Log.Info("promoter: move requested", zap.String("Service", string(next.Service)),
 				zap.String("Version", string(next.Version)), zap.Duration("Duration", next.Duration), zap.Int64("Revision", next.Revision))
 		}
+		if forgotten := m.Written && !next.Written || m.State != Running && next.State == Running; forgotten {
+			// The instances write the state again in the order of their rank.
+			m.dueAt = p.settings.Clock.Now()
+			p.settings.Log.Warn("promoter: store has forgotten the state of the move", zap.String("Service", string(next.Service)),
+				zap.String("Version", string(next.Version)), zap.Int64("Revision", next.Revision))
+		}
 		m.Move = next
 		if next.State != Running {
-			m.decided = next.State
+			m.decided, m.confirmed = next.State, next.State
 		}
 	}
 	for service := range p.moves {
@@ -147,7 +162,7 @@
 	case Completed:
 		// The targets of the old version stop when the state has been written, so
 		// they are used until then.
-		if m.State == Completed {
+		if m.confirmed == Completed {
 			return Plan{m.Version, 1}
 		}
 	case RolledBack:
@@ -195,11 +210,7 @@
 			p.decide(m, now)
 			rolledBack = rolledBack || m.decided == RolledBack
 		}
-		decidedAt := m.decidedAt
-		if m.decided == Running {
-			decidedAt = m.requestedAt
-		}
-		if (m.decided != Running || !m.Written) && now.Sub(decidedAt) >= delay {
+		if (m.decided != Running || !m.Written) && now.Sub(m.dueAt) >= delay && !now.Before(m.notBefore) {
 			due = append(due, *m)
 		}
 	}
@@ -216,11 +227,11 @@
 	fault := p.evidence.fault(m.Service, m.Version)
 	switch {
 	case fault != "":
-		m.decided, m.decidedAt = RolledBack, now
+		m.decided, m.dueAt = RolledBack, now
 		p.settings.Log.Warn("promoter: version is bad", zap.String("Service", string(m.Service)),
 			zap.String("Version", string(m.Version)), zap.String("Why", fault), zap.Duration("After", now.Sub(m.requestedAt)))
 	case now.Sub(m.requestedAt) >= m.completeAfter():
-		m.decided, m.decidedAt = Completed, now
+		m.decided, m.dueAt = Completed, now
 		p.settings.Log.Info("promoter: version is good", zap.String("Service", string(m.Service)),
 			zap.String("Version", string(m.Version)), zap.Duration("After", now.Sub(m.requestedAt)))
 	}
@@ -235,7 +246,24 @@
 func (p *Promoter) write(ctx context.Context, m move) {
 	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
 	defer cancel()
-	if err := p.settings.Write(ctx, m.Move, m.decided); err != nil {
+	err := p.settings.Write(ctx, m.Move, m.decided)
+	if err != nil {
 		p.settings.Log.Warn("promoter: state of the move cannot be written", zap.String("Service", string(m.Service)), zap.Error(err))
 	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if current := p.moves[m.Service]; current != nil && current.Version == m.Version {
+		current.backOff(p.settings.Clock.Now(), err != nil)
+	}
+}
+
+// backOff delays the next write of the state after a failed one, twice as long each
+// time.
+func (m *move) backOff(now time.Time, failed bool) {
+	if !failed {
+		m.backoff, m.notBefore = 0, time.Time{}
+		return
+	}
+	m.backoff = min(max(2*m.backoff, reviewPeriod), maxWriteBackoff)
+	m.notBefore = now.Add(m.backoff)
 }
