--- a/tracker/limit.go
+++ b/tracker/limit.go
@@ -260,7 +260,7 @@
 	t.limitsReportedAt = now
 	for id, r := range t.replicas {
 		l, ok := r.takeLimitCounts()
-		if !ok {
+		if !ok || l.counts == (LimitCounts{}) {
 			continue
 		}
 		t.settings.Log.Info("tracker: requests to a target with a limit", zap.String("Target", id), zap.String("Service", string(r.Entry().Service)),
