Do not take the want of memory for an answer as a refusal of its target

TestMemoryBoundsAllAnswers failed in 3 of 6 runs with the race detector on: an answer that does not fit into the memory that all answers share ends its connection, and as that had not answered before, the target counted as one that resets new connections and got none for 50 ms and more. Only the last request of the test showed it, if the garbage collector was quick. Such an answer counts as one now.

--- a/connector/connection.go
+++ b/connector/connection.go
@@ -82,7 +82,8 @@
 	closed bool
 	ended  bool
 
-	// answered is set after the first valid answer.
+	// answered is set after the first valid answer, or one for which this instance
+	// has no memory, which is no fault of the target.
 	answered atomic.Bool
 	// idleSince and idleLimit are guarded by the pool. idleLimit is how long the
 	// target keeps idle connections; 0 if it did not say.
@@ -157,7 +158,7 @@
 		if ended {
 			return
 		}
-		if res.err == nil {
+		if res.err == nil || errors.Is(res.err, ErrMemory) {
 			c.answered.Store(true)
 		}
 		e.done <- &res
