Rank the instances for a named limit by the ordinal of the copy

Where limits are so low that only some instances may send to a target, the same ones were chosen for all targets: with 11 of 12 targets of a service at 1.2 requests a second, 3 of 7 instances reached only the last one (by reading; TestInstanceReachesNoCopyWithinLimits fails with one ranking: 8 of 24 reach a copy). The ranking now depends on the place of the target among those of its service, so that it is still the same for the first copies of all shards.

--- a/conductor/division.go
+++ b/conductor/division.go
@@ -4,6 +4,7 @@
 	"context"
 	"math"
 	"slices"
+	"strconv"
 	"time"
 
 	"golang.org/x/time/rate"
@@ -40,9 +41,11 @@
 	// limitForgetAfter is the least time after which an instance that may not send to
 	// a target tries whether its limit has ended.
 	limitForgetAfter = 10 * time.Second
-	// limitKey ranks the instances that may send to targets with a limit. It is the
-	// same for all targets, since a query needs all its shards at one instance.
-	limitKey = "limit"
+	// limitKey, with the ordinal of the copy, ranks the instances that may send to
+	// targets with a limit. It is the same for the first copies of all shards, since a
+	// query needs all its shards at one instance, and another one for the second
+	// copies, so that more instances reach one of them.
+	limitKey = "limit/"
 	// startupPeriod is how long after its start an instance may not know all
 	// others. It covers two gossip rounds and the start of processes that are
 	// started together.
@@ -111,14 +114,16 @@
 	return d.part(target, max(int(coldSenderPart*spare), 1))
 }
 
-// limitShare returns this instance's part of the limit that a target names.
-func (d *division) limitShare(perSecond float64) tracker.LimitShare {
+// limitShare returns this instance's part of the limit that a target names. Ordinal
+// is that of the target among the copies of its service.
+func (d *division) limitShare(ordinal int, perSecond float64) tracker.LimitShare {
+	key := limitKey + strconv.Itoa(ordinal)
 	perSecond = max(perSecond, minLimitRate)
 	burst := limitSenderPart * (perSecond*(limitFactor-1)*limitWindow.Seconds() + limitAllowance)
 	senders := max(int(min(burst, math.MaxInt32)), 1)
-	part := d.part(limitKey, senders)
+	part := d.part(key, senders)
 	if part <= 0 {
-		return tracker.LimitShare{ForgetAfter: d.forgetAfter(senders)}
+		return tracker.LimitShare{ForgetAfter: d.forgetAfter(key, senders)}
 	}
 	return tracker.LimitShare{PerSecond: rate.Limit(perSecond * part), Burst: max(int(min(burst*part, math.MaxInt32)), 1)}
 }
@@ -126,10 +131,10 @@
 // forgetAfter returns after which time without an answer of the target this instance
 // takes its limit as ended, if at most the given number of instances may send to it.
 // The excluded instances try one after the other.
-func (d *division) forgetAfter(senders int) time.Duration {
+func (d *division) forgetAfter(key string, senders int) time.Duration {
 	excluded := d.activeCount + d.passiveCount
 	if d.isActive {
-		excluded = max(gossiper.RankOf(limitKey, d.self, d.active)-senders, 0)
+		excluded = max(gossiper.RankOf(key, d.self, d.active)-senders, 0)
 	}
 	return limitForgetAfter + time.Duration(excluded)*limitWindow
 }
@@ -157,8 +162,8 @@
 	return c.division.Load().coldPart(target, spare)
 }
 
-func (c *Conductor) limitShare(perSecond float64) tracker.LimitShare {
-	return c.division.Load().limitShare(perSecond)
+func (c *Conductor) limitShare(ordinal int, perSecond float64) tracker.LimitShare {
+	return c.division.Load().limitShare(ordinal, perSecond)
 }
 
 // updateDivision recomputes the division of the shared limits from the live
--- a/conductor/limit_test.go
+++ b/conductor/limit_test.go
@@ -27,7 +27,7 @@
 	senders := make([]*limitSender, 0, len(fleet))
 	for _, p := range fleet {
 		d := newDivision(p.Instance, fleet, notLive)
-		share := d.limitShare(limit)
+		share := d.limitShare(0, limit)
 		s := &limitSender{bucket: rate.NewLimiter(share.PerSecond, share.Burst)}
 		for i := range active {
 			if active[i].Instance != p.Instance {
@@ -120,7 +120,7 @@
 	var times []time.Duration
 	for _, p := range fleet {
 		d := newDivision(p.Instance, fleet, 0)
-		if share := d.limitShare(limit); share.Burst == 0 && d.isActive {
+		if share := d.limitShare(0, limit); share.Burst == 0 && d.isActive {
 			times = append(times, share.ForgetAfter)
 		}
 	}
@@ -134,3 +134,27 @@
 		}
 	}
 }
+
+func TestInstanceReachesNoCopyWithinLimits(t *testing.T) {
+	// Guards against instances that may send to none of the copies of a shard although
+	// others may send to all: of 24 instances, 8 may send to a target that names 3 a
+	// second. An instance that may send to a copy of one shard must be able to do so
+	// for all shards.
+	fleet := fleetOf(24, 0)
+	const limit, copies = 3, 6
+	reach := 0
+	for _, p := range fleet {
+		d := newDivision(p.Instance, fleet, 0)
+		reached := false
+		for ordinal := range copies {
+			reached = reached || d.limitShare(ordinal, limit).Burst > 0
+		}
+		if reached {
+			reach++
+		}
+	}
+	// With independent rankings 91 in 100 reach one of six copies, 33 in 100 with one.
+	if reach < len(fleet)*2/3 {
+		t.Errorf("%d of %d instances may send to one of %d copies", reach, len(fleet), copies)
+	}
+}
--- a/sender/sender_test.go
+++ b/sender/sender_test.go
@@ -70,7 +70,7 @@
 	t.Cleanup(serving.Wait)
 	targetTracker := tracker.New(tracker.Settings{
 		Clock: clock, Log: zap.NewNop(), Drain: 2 * time.Second, ColdPart: func(string, float64) float64 { return 1 },
-		LimitShare: func(perSecond float64) tracker.LimitShare {
+		LimitShare: func(_ int, perSecond float64) tracker.LimitShare {
 			return tracker.LimitShare{PerSecond: rate.Limit(perSecond), Burst: limitBurst}
 		},
 		NewPool: func(e tracker.Entry, bound int) *connector.Pool {
--- a/tracker/limit.go
+++ b/tracker/limit.go
@@ -2,11 +2,13 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
 	"golang.org/x/time/rate"
 
+	"jujubegate.example/jujubegate"
 	"jujubegate.example/jujubegate/connector"
 )
 
@@ -93,13 +95,13 @@
 }
 
 // divideLimit sets this instance's part of the limit that the target names.
-func (r *Replica) divideLimit(share func(perSecond float64) LimitShare, now time.Time) {
+func (r *Replica) divideLimit(share func(ordinal int, perSecond float64) LimitShare, now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.limit == nil {
 		return
 	}
-	s := share(r.limit.perSecond)
+	s := share(int(r.ordinal.Load()), r.limit.perSecond)
 	r.limit.bucket.SetLimitAt(now, s.PerSecond)
 	r.limit.bucket.SetBurstAt(now, s.Burst)
 	r.limit.forgetAfter = s.ForgetAfter
@@ -232,6 +234,21 @@
 	}
 }
 
+// setOrdinals sets the ordinals of the listed targets. All instances that know the
+// same list set the same ones.
+func (t *Tracker) setOrdinals(entries []Entry) {
+	ids := make(map[jujubegate.Service][]string)
+	for _, e := range entries {
+		ids[e.Service] = append(ids[e.Service], e.ID)
+	}
+	for _, list := range ids {
+		slices.Sort(list)
+		for i, id := range list {
+			t.replicas[id].ordinal.Store(int32(i))
+		}
+	}
+}
+
 // divideLimits sets this instance's part of the limits that targets name.
 func (t *Tracker) divideLimits() {
 	now := t.settings.Clock.Now()
--- a/tracker/replica.go
+++ b/tracker/replica.go
@@ -63,6 +63,8 @@
 	// there is one.
 	limit   *namedLimit
 	limited atomic.Bool
+	// ordinal is the place of the target among those of its service by ID.
+	ordinal atomic.Int32
 }
 
 // Entry returns the newest entry.
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -38,8 +38,9 @@
 	// target may get; spare is how many of these per second may exceed the target's
 	// rate.
 	ColdPart func(target string, spare float64) float64
-	// LimitShare returns this instance's part of the limit that a target names.
-	LimitShare func(perSecond float64) LimitShare
+	// LimitShare returns this instance's part of the limit that a target names, of
+	// which ordinal is the place among the listed targets of its service by ID.
+	LimitShare func(ordinal int, perSecond float64) LimitShare
 }
 
 // Tracker maintains the targets and their connections. It is safe for concurrent
@@ -137,6 +138,8 @@
 	}
 	t.retainMissing(missing, len(entries), recency)
 	t.publish()
+	t.setOrdinals(entries)
+	t.divideLimits()
 }
 
 // sweepPeriod is the time between two checks for targets to remove.
--- a/tracker/tracker_test.go
+++ b/tracker/tracker_test.go
@@ -25,7 +25,7 @@
 func newTracker(clock jujubegate.Clock) *Tracker {
 	var t *Tracker
 	t = New(Settings{
-		Clock: clock, ColdPart: func(string, float64) float64 { return t.share }, LimitShare: func(perSecond float64) LimitShare {
+		Clock: clock, ColdPart: func(string, float64) float64 { return t.share }, LimitShare: func(_ int, perSecond float64) LimitShare {
 			if t.share == 0 {
 				return LimitShare{ForgetAfter: forgetAfter}
 			}
