Gossip within the data centre first, and tell only what is new

Each round asked two random peers of the whole fleet, five in six of them in another data centre, each change was told in every exchange for 5 s, and a start transferred all states again and again. Ruled out: sub-requests and answers as the larger part (they did not change here).

Change, for fleets of more than 17 instances: partners are random ones of the own data centre; three relays of each, and any other instance now and then, also contact another one. A state is told a number of times that grows with the logarithm of the fleet, less often once peers turn out to know it. A digest of the live instances in each exchange shows where news were lost, and leads to an exchange of all states, at most every 4 s. Messages of 1 KB or more are compressed, rounds that changes trigger are 100 ms apart at least, a first failed exchange is repeated at once, and idle connections to peers are closed after 20 s. An instance that has been forgotten is not taken up again from a report of its loss (TestForgottenInstanceComesBack fails without this).

--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -177,7 +178,9 @@
 func (c *Conductor) countInstances() int { return len(c.gossiper.Peers()) + 1 }
 
 // liveFleet returns the live instances, including this one.
-func (c *Conductor) liveFleet() []gossiper.Peer { return append(c.gossiper.Peers(), c.gossiper.Self()) }
+func (c *Conductor) liveFleet() []gossiper.Peer {
+	return append(slices.Clone(c.gossiper.Peers()), c.gossiper.Self())
+}
 
 // configurationCurrent reports whether the configuration was confirmed so recently
 // that a route that is missing from it does not exist.
--- a/conductor/traffic.go
+++ b/conductor/traffic.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"time"
 
 	"jujubegate.example/jujubegate"
 	"jujubegate.example/jujubegate/accountant"
@@ -11,6 +12,10 @@
 	"jujubegate.example/jujubegate/recorder"
 )
 
+// peerIdleTimeout is how long an idle connection to a peer is kept. A large fleet
+// has more peers than connections that an instance can hold.
+const peerIdleTimeout = 20 * time.Second
+
 // dialTarget returns the function that opens connections to a target in a data
 // centre and counts their bytes.
 func (c *Conductor) dialTarget(dataCentre jujubegate.DataCentre) func(ctx context.Context, network, address string) (net.Conn, error) {
@@ -30,7 +35,7 @@
 func (c *Conductor) newPeerTransport() *http.Transport {
 	account := accountant.Account{Total: c.recorder.Counter(recorder.PeerBytes), Far: c.recorder.Counter(recorder.PeerBytesFar)}
 	return &http.Transport{
-		MaxIdleConnsPerHost: 2, DisableCompression: true, MaxResponseHeaderBytes: maxControlHeaderBytes,
+		MaxIdleConnsPerHost: 2, IdleConnTimeout: peerIdleTimeout, DisableCompression: true, MaxResponseHeaderBytes: maxControlHeaderBytes,
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			conn, err := (&net.Dialer{}).DialContext(ctx, network, address)
 			if err != nil {
--- a/gossiper/exchange.go
+++ b/gossiper/exchange.go
@@ -13,32 +13,75 @@
 )
 
 func (g *Gossiper) client(address string) wireconnect.GossipClient {
-	return wireconnect.NewGossipClient(g.settings.Client, "http://"+address, connect.WithReadMaxBytes(maxMessageBytes))
+	return wireconnect.NewGossipClient(g.settings.Client, "http://"+address, connect.WithReadMaxBytes(maxMessageBytes),
+		connect.WithSendGzip(), connect.WithCompressMinBytes(compressMinBytes))
 }
 
-// exchange sends the state of this instance to a peer and merges the response.
-func (g *Gossiper) exchange(ctx context.Context, address string, full bool) {
+// exchange sends the state of this instance to a peer and merges the response. If
+// whole is set, both send the states of all instances that they know. A first failure
+// is repeated at once, since it can be due to a connection that was lost.
+func (g *Gossiper) exchange(ctx context.Context, address string, whole bool) {
+	for again := true; again && ctx.Err() == nil; {
+		again = g.exchangeOnce(ctx, address, whole)
+	}
+}
+
+// exchangeOnce makes one attempt at an exchange, and reports whether it must be
+// repeated to find out whether the peer is lost.
+func (g *Gossiper) exchangeOnce(ctx context.Context, address string, whole bool) (again bool) {
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
 	sentAt := g.settings.Clock.Now()
+	self := g.self()
 	response, err := g.client(address).Exchange(ctx, connect.NewRequest(&wire.ExchangeRequest{
-		Fleet: g.settings.Fleet, Receiver: address, Sender: g.self(), Known: g.changedPeers(full), Holdings: g.holdings(), Whole: full, Tallies: g.tallies(),
+		Fleet: g.settings.Fleet, Receiver: address, Sender: self, Known: append(g.news(whole), g.suspicionOf(address)...), Holdings: g.holdings(),
+		Whole: whole || g.Size() == 1, Tallies: g.tallies(), Digest: g.digest(self),
 	}))
 	if err != nil {
 		g.settings.Log.Debug("gossiper: exchange failed", zap.String("Address", address), zap.Error(err))
-		if g.update(func(m *members, now time.Time) bool { return m.recordFailure(address, now) }) {
-			// Start a round at once to tell the other instances of the suspicion.
-			g.TriggerRound()
-		}
-		return
+		g.update(func(m *members, now time.Time) (suspected bool) {
+			suspected, again = m.recordFailure(address, now)
+			return suspected
+		})
+		return again
 	}
-	if from := response.Msg.Sender.GetPeerAddress(); from != address {
+	m := response.Msg
+	if from := m.Sender.GetPeerAddress(); from != address {
 		g.settings.Log.Warn("gossiper: another instance answered at the peer address", zap.String("Address", address), zap.String("From", from))
-		return
+		return false
+	}
+	g.merge(m.Sender, m.Known)
+	g.reconcile(address, m.Holdings, sentAt)
+	g.deliverTallies(m.Sender, m.Tallies)
+	if !whole && len(m.Known) == 0 && m.Digest != g.digest(g.self()) && g.mayExchangeWhole() {
+		go g.exchange(context.WithoutCancel(ctx), address, true)
 	}
-	g.merge(response.Msg.Sender, response.Msg.Known)
-	g.reconcile(address, response.Msg.Holdings, sentAt)
-	g.deliverTallies(response.Msg.Sender, response.Msg.Tallies)
+	return false
+}
+
+// suspicionOf returns the state of the peer at an address if it counts as suspected
+// or dead. The peer refutes it, so that all others learn that it is live; its old
+// state does not tell them.
+func (g *Gossiper) suspicionOf(address string) []*wire.Peering {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, r := range g.members.records {
+		if r.peering.PeerAddress == address && (r.suspected() || r.dead()) {
+			return []*wire.Peering{r.toWire()}
+		}
+	}
+	return nil
+}
+
+// mayExchangeWhole reports whether a difference to a peer must be settled by an
+// exchange of all states: there is no news that would settle it, and the last such
+// exchange was at least wholePause ago.
+func (g *Gossiper) mayExchangeWhole() bool {
+	g.mu.Lock()
+	news := g.members.hasNews()
+	g.mu.Unlock()
+	now, last := g.settings.Clock.Now(), g.wholeAt.Load()
+	return !news && (last == nil || now.Sub(*last) >= wholePause) && g.wholeAt.CompareAndSwap(last, &now)
 }
 
 // Exchange handles an exchange that a peer started: it merges the peer's state
@@ -49,14 +92,16 @@
 		return nil, connect.NewError(connect.CodeInvalidArgument,
 			fmt.Errorf("message for fleet %q and receiver %q does not belong here", m.Fleet, m.Receiver))
 	}
-	senderChanged := g.merge(m.Sender, m.Known)
+	suspicion := g.suspicionOf(m.Sender.PeerAddress)
+	started := g.merge(m.Sender, m.Known)
 	if g.reconcile(m.Sender.PeerAddress, m.Holdings, time.Time{}) && g.Size() <= FullMeshLimit+1 {
 		// In a larger fleet this instance asks as many peers itself in each round.
 		g.askBack(m.Sender.PeerAddress)
 	}
 	g.deliverTallies(m.Sender, m.Tallies)
+	self := g.self()
 	return connect.NewResponse(&wire.ExchangeResponse{
-		Sender: g.self(), Known: g.changedPeers(m.Whole || senderChanged), Holdings: g.holdings(), Tallies: g.tallies(),
+		Sender: self, Known: append(g.news(m.Whole || started), suspicion...), Holdings: g.holdings(), Tallies: g.tallies(), Digest: g.digest(self),
 	}), nil
 }
 
@@ -87,10 +132,8 @@
 }
 
 // merge merges the state that a peer sent: its own and what it knows of other
-// instances. It returns whether the sender is new, was suspected or dead, or has
-// changed.
-func (g *Gossiper) merge(sender *wire.Peering, known []*wire.Peering) bool {
-	senderChanged := false
+// instances. It returns whether the sender is a new process.
+func (g *Gossiper) merge(sender *wire.Peering, known []*wire.Peering) (started bool) {
 	g.update(func(m *members, now time.Time) bool {
 		changed := false
 		for _, p := range known {
@@ -108,10 +151,11 @@
 			return changed
 		}
 		delete(g.contacts, sender.PeerAddress)
-		senderChanged = m.mergeSelfReport(sender, now)
+		var senderChanged bool
+		senderChanged, started = m.mergeSelfReport(sender)
 		return senderChanged || changed
 	})
-	return senderChanged
+	return started
 }
 
 // refute corrects what a peer knows of this instance. If the peer suspects it,
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -5,9 +5,7 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"net/http"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -30,14 +28,12 @@
 	// bootstrapRounds is the number of rounds after the start that may use
 	// bootstrapPeriod.
 	bootstrapRounds = 20
-	// fanOut is the number of live peers that an instance contacts per round in a
-	// fleet with more than FullMeshLimit peers.
-	fanOut = 2
-	// FullMeshLimit is the number of peers up to which each pair of instances
-	// exchanges its state in every round.
-	FullMeshLimit = 16
-	// compressMinBytes is the size from which on a response is compressed. Lists of
-	// targets are larger; for exchanges compression would cost more than it saves.
+	// minTriggerPeriod is the least time between two rounds of a large fleet, however
+	// many changes there are to spread.
+	minTriggerPeriod = 100 * time.Millisecond
+	// compressMinBytes is the size from which on a message is compressed. Lists of
+	// targets and of instances are larger; for other exchanges compression would cost
+	// more than it saves.
 	compressMinBytes = 1024
 	// maxMessageBytes bounds a message after decompression: all objects of a kind.
 	maxMessageBytes = 32 << 20
@@ -45,10 +41,10 @@
 	exchangeTimeout = 400 * time.Millisecond
 	// fetchTimeout bounds the transfer of one kind.
 	fetchTimeout = 2 * time.Second
-	// fullExchangeEvery is the number of rounds from one exchange that sends the
-	// states of all instances to the next. The others send only recent changes, which
-	// can be lost.
-	fullExchangeEvery = 32
+	// wholePause is the least time between two exchanges of the states of all
+	// instances that are due to a difference. The others send only changes, which can
+	// be lost.
+	wholePause = 4 * time.Second
 )
 
 // Settings are the dependencies of a Gossiper.
@@ -78,13 +74,14 @@
 // safe for concurrent use.
 type Gossiper struct {
 	settings Settings
-	round    atomic.Int64
 	// incarnation is raised if peers know a higher one from an earlier start.
 	incarnation atomic.Int64
 	beat        atomic.Int64
 	serving     atomic.Bool
 	// askedBackAt is the time of the last askBack.
 	askedBackAt atomic.Pointer[time.Time]
+	// wholeAt is the time of the last exchange of all states due to a difference.
+	wholeAt atomic.Pointer[time.Time]
 
 	mu      sync.Mutex
 	members members
@@ -139,11 +136,11 @@
 // Run exchanges state with peers until the context ends.
 func (g *Gossiper) Run(ctx context.Context) {
 	triggered := false
-	for ctx.Err() == nil {
-		round := g.round.Add(1)
+	for round := 1; ctx.Err() == nil; round++ {
+		started := g.settings.Clock.Now()
 		g.update(func(m *members, now time.Time) bool { return m.expire(now) })
 		for _, address := range g.partners(triggered) {
-			go g.exchange(ctx, address, round%fullExchangeEvery == 0)
+			go g.exchange(ctx, address, false)
 		}
 		period := Period
 		if round <= bootstrapRounds && g.Size() == 1 {
@@ -154,22 +151,39 @@
 			triggered = false
 		case <-g.trigger:
 			triggered = true
+			if g.Size() > FullMeshLimit+1 {
+				g.sleep(ctx, minTriggerPeriod-g.settings.Clock.Since(started))
+			}
 		case <-ctx.Done():
 		}
 	}
 }
 
+func (g *Gossiper) sleep(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	select {
+	case <-g.settings.Clock.After(d):
+	case <-ctx.Done():
+	}
+}
+
 // update calls change with the members. If change returns true, update calls
-// Settings.Changed and returns true.
-func (g *Gossiper) update(change func(*members, time.Time) bool) bool {
+// Settings.Changed. It starts a round at once if the loss of an instance must be
+// spread.
+func (g *Gossiper) update(change func(*members, time.Time) bool) {
 	g.mu.Lock()
 	changed := change(&g.members, g.settings.Clock.Now())
-	peers := g.members.live()
+	peers, urgent := g.members.live(), g.members.urgent
+	g.members.urgent = false
 	g.mu.Unlock()
 	if changed {
 		g.settings.Changed(peers)
 	}
-	return changed
+	if urgent {
+		g.TriggerRound()
+	}
 }
 
 // TriggerRound starts the next round at once in order to spread a change.
@@ -190,7 +204,7 @@
 	group.Wait()
 }
 
-// Peers returns the other live instances.
+// Peers returns the other live instances. The slice must not be changed.
 func (g *Gossiper) Peers() []Peer {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -210,47 +224,6 @@
 	return ""
 }
 
-// partners returns the addresses to contact in the next round: some live peers,
-// all of them if all is set and the fleet is small, and one that is suspected, dead
-// or not known yet. Without live peers it returns up to FullMeshLimit of the latter.
-func (g *Gossiper) partners(all bool) []string {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	var live, other []string
-	for a := range g.contacts {
-		other = append(other, a)
-	}
-	for _, r := range g.members.records {
-		if r.suspected() || r.dead() {
-			other = append(other, r.peering.PeerAddress)
-		} else {
-			live = append(live, r.peering.PeerAddress)
-		}
-	}
-	rand.Shuffle(len(other), func(i, j int) { other[i], other[j] = other[j], other[i] })
-	if len(live) == 0 {
-		return other[:min(len(other), FullMeshLimit)]
-	}
-	if !all || len(live) > FullMeshLimit {
-		live = selectPartners(g.settings.Self.PeerAddress, live)
-	}
-	return append(live, other[:min(len(other), 1)]...)
-}
-
-// selectPartners returns the live peers that an instance contacts in a round. In
-// a small fleet they are the half that follows it in the ring of sorted addresses,
-// so that each pair has an exchange; in a large fleet they are fanOut random ones.
-func selectPartners(self string, live []string) []string {
-	if len(live) > FullMeshLimit {
-		rand.Shuffle(len(live), func(i, j int) { live[i], live[j] = live[j], live[i] })
-		return live[:fanOut]
-	}
-	slices.Sort(live)
-	after, _ := slices.BinarySearch(live, self)
-	ring := append(slices.Clone(live[after:]), live[:after]...)
-	return ring[:(len(live)+1)/2]
-}
-
 // self returns the state of this instance for exchanges. It raises the beat if
 // Serving has changed.
 func (g *Gossiper) self() *wire.Peering {
@@ -265,10 +238,18 @@
 	}
 }
 
-func (g *Gossiper) changedPeers(full bool) []*wire.Peering {
+// news returns the states of other instances for an exchange with a peer.
+func (g *Gossiper) news(whole bool) []*wire.Peering {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.members.news(whole)
+}
+
+// digest returns a hash of the states of all live instances, this one included.
+func (g *Gossiper) digest(self *wire.Peering) uint64 {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.members.changedPeers(g.settings.Clock.Now(), full)
+	return g.members.liveDigest() ^ digestOf(self)
 }
 
 func (g *Gossiper) holdings() []*wire.Holding {
--- a/gossiper/gossiper_test.go
+++ b/gossiper/gossiper_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"testing"
 	"time"
 
@@ -138,10 +139,10 @@
 		{"heard", func(*members) {}, 1},
 		{"one failure", func(m *members) { m.recordFailure("x", now) }, 1},
 		{"two failures", func(m *members) { m.recordFailure("x", now); m.recordFailure("x", now) }, 0},
-		{"failures, then reported itself", func(m *members) { m.recordFailure("x", now); m.recordFailure("x", now); m.mergeSelfReport(p, now) }, 1},
+		{"failures, then reported itself", func(m *members) { m.recordFailure("x", now); m.recordFailure("x", now); m.mergeSelfReport(p) }, 1},
 		{"suspected by a peer", func(m *members) { m.mergePeerReport(suspected, now) }, 0},
 		{"suspicion of an earlier beat", func(m *members) {
-			m.mergeSelfReport(&wire.Peering{Instance: "a", Incarnation: 5, Beat: 3, PeerAddress: "x"}, now)
+			m.mergeSelfReport(&wire.Peering{Instance: "a", Incarnation: 5, Beat: 3, PeerAddress: "x"})
 			m.mergePeerReport(suspected, now)
 		}, 1},
 		{"denied", func(m *members) {
@@ -156,14 +157,14 @@
 		{"dead, then reported itself", func(m *members) {
 			m.mergePeerReport(suspected, now)
 			m.expire(now.Add(suspicionTimeout))
-			m.mergeSelfReport(p, now.Add(suspicionTimeout))
+			m.mergeSelfReport(p)
 		}, 1},
 	}
 	Convey("An instance", t, func() {
 		for _, c := range cases {
 			Convey(c.name, func() {
 				m := &members{log: zap.NewNop(), records: map[string]*record{}}
-				m.mergeSelfReport(p, now)
+				m.mergeSelfReport(p)
 				c.steps(m)
 				So(m.live(), ShouldHaveLength, c.live)
 			})
@@ -242,7 +243,7 @@
 						live = append(live, fmt.Sprintf("10.0.0.%02d:1", other))
 					}
 				}
-				for _, address := range selectPartners(fmt.Sprintf("10.0.0.%02d:1", self), live) {
+				for _, address := range selectRingPartners(fmt.Sprintf("10.0.0.%02d:1", self), live) {
 					var other int
 					_, err := fmt.Sscanf(address, "10.0.0.%02d:1", &other)
 					So(err, ShouldBeNil)
@@ -254,8 +255,65 @@
 			So(total, ShouldBeLessThanOrEqualTo, n*(n-1)/2+n)
 		}
 	})
-	Convey("In a large fleet an instance contacts a few peers", t, func() {
-		So(selectPartners("self", make([]string, FullMeshLimit+1)), ShouldHaveLength, fanOut)
+}
+
+// largeFleet returns the instances of a fleet of several data centres with the same
+// number of instances each.
+func largeFleet(dataCentres, each int) []Peer {
+	var fleet []Peer
+	for d := range dataCentres {
+		for i := range each {
+			name := fmt.Sprintf("dc-%d-%02d", d, i)
+			fleet = append(fleet, Peer{
+				Instance: jujubegate.Instance(name), PeerAddress: name, DataCentre: jujubegate.DataCentre(fmt.Sprint("dc-", d)), Serving: true,
+			})
+		}
+	}
+	return fleet
+}
+
+func TestLargeFleetStaysInItsDataCentres(t *testing.T) {
+	// Guards against exchanges between data centres that grow with the fleet, which
+	// took most of the billed bytes of a fleet of 195, and against data centres that
+	// learn nothing of each other.
+	const dataCentres, each, rounds = 6, 32, 20
+	fleet := largeFleet(dataCentres, each)
+	dataCentreOf := make(map[string]jujubegate.DataCentre)
+	for _, p := range fleet {
+		dataCentreOf[p.PeerAddress] = p.DataCentre
+	}
+	Convey("Exchanges leave a data centre a few times per round", t, func() {
+		far, total := 0, 0
+		links := make(map[[2]jujubegate.DataCentre]int)
+		for i, self := range fleet {
+			others := slices.Delete(slices.Clone(fleet), i, i+1)
+			for range rounds {
+				for _, address := range selectNearPartners(self, others, false) {
+					total++
+					if dataCentreOf[address] != self.DataCentre {
+						far++
+						links[[2]jujubegate.DataCentre{self.DataCentre, dataCentreOf[address]}]++
+					}
+				}
+			}
+		}
+		So(total, ShouldBeLessThanOrEqualTo, len(fleet)*rounds*(fanOut+1))
+		So(far, ShouldBeLessThan, 2*rounds*dataCentres*(relays+farChance*each))
+		So(links, ShouldHaveLength, dataCentres*(dataCentres-1))
+	})
+	Convey("To spread a change, relays contact each data centre at once", t, func() {
+		reached := jujubegate.NewSet[jujubegate.DataCentre]()
+		for i, self := range fleet[:each] {
+			others := slices.Delete(slices.Clone(fleet), i, i+1)
+			for _, address := range selectNearPartners(self, others, true) {
+				reached = reached.With(dataCentreOf[address])
+			}
+		}
+		So(reached.Len(), ShouldEqual, dataCentres)
+	})
+	Convey("An instance without enough others in its data centre contacts any", t, func() {
+		lone := Peer{Instance: "lone", PeerAddress: "lone", DataCentre: "dc-9"}
+		So(selectNearPartners(lone, fleet, false), ShouldHaveLength, fanOut)
 	})
 }
 
@@ -290,3 +348,32 @@
 		b.waitFor(t, time.Second, "a confirmation", func() bool { return b.replicator.Age() < 10*time.Second })
 	})
 }
+
+func TestForgottenInstanceComesBack(t *testing.T) {
+	// Guards against an instance that was lost for good and counts in the division of
+	// the shared limits for ever, since those that forget it are told of its loss by
+	// those that still remember it.
+	now := time.Now()
+	lost := &wire.Peering{Instance: "lost", Incarnation: 5, PeerAddress: "x", Serving: true}
+	a := &members{log: zap.NewNop(), records: map[string]*record{}}
+	b := &members{log: zap.NewNop(), records: map[string]*record{}}
+	for _, m := range []*members{a, b} {
+		m.mergeSelfReport(lost)
+	}
+	a.suspect(a.records["lost"], now, "test")
+	b.suspect(b.records["lost"], now.Add(10*time.Second), "test")
+	for range 600 {
+		now = now.Add(time.Second)
+		a.expire(now)
+		b.expire(now)
+		for _, p := range a.news(true) {
+			b.mergePeerReport(p, now)
+		}
+		for _, p := range b.news(true) {
+			a.mergePeerReport(p, now)
+		}
+	}
+	if len(a.records)+len(b.records) > 0 {
+		t.Errorf("%d and %d records of an instance that was lost ten minutes ago", len(a.records), len(b.records))
+	}
+}
--- a/gossiper/member.go
+++ b/gossiper/member.go
@@ -1,10 +1,13 @@
 package gossiper
 
 import (
+	"encoding/binary"
+	"math"
 	"slices"
 	"strings"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 
 	"jujubegate.example/jujubegate"
@@ -20,9 +23,12 @@
 	// forgetAfter is how long a dead instance still counts for shared limits and is
 	// contacted now and then.
 	forgetAfter = time.Minute
-	// changeLifetime is how long exchanges include a change. Each round of 500 ms
-	// triples the number of instances that know it, so that ten rounds reach all.
-	changeLifetime = 5 * time.Second
+	// tellsPerDoubling is how often an instance tells a change for each doubling of
+	// the fleet. Fewer instances learn each change if it is told less often.
+	tellsPerDoubling = 1.5
+	// heardTells is how many of these tells are saved when another instance turns out
+	// to know the change already.
+	heardTells = 2
 )
 
 // Peer describes one instance. It is immutable.
@@ -41,8 +47,9 @@
 type record struct {
 	peering *wire.Peering
 	// failures counts the consecutive failed exchanges of this instance with it.
-	failures    int
-	changedAt   time.Time
+	failures int
+	// tells is how many more exchanges include this state.
+	tells       int
 	suspectedAt time.Time
 	deadAt      time.Time
 }
@@ -54,7 +61,7 @@
 // toWire returns the state of the instance as exchanges send it.
 func (r *record) toWire() *wire.Peering {
 	p := r.peering
-	if !r.suspected() {
+	if !r.suspected() && !r.dead() {
 		return p
 	}
 	return &wire.Peering{
@@ -84,79 +91,108 @@
 type members struct {
 	log     *zap.Logger
 	records map[string]*record
+	// peers and digest are those of the live instances; peers is nil after a change.
+	peers  []Peer
+	digest uint64
+	// urgent is set when an instance to which callers are sent has become unusable.
+	// Others must learn this before the next round.
+	urgent bool
+}
+
+// changed records that the state of an instance has changed and must be told.
+func (m *members) changed(r *record) {
+	r.tells = int(math.Ceil(tellsPerDoubling * math.Log2(float64(len(m.records)+2))))
+	m.peers = nil
 }
 
 // mergeSelfReport merges what an instance reports of itself. It returns whether
-// the record has changed.
-func (m *members) mergeSelfReport(p *wire.Peering, now time.Time) bool {
+// the record has changed, and whether the process of the instance is a new one, which
+// knows no others yet.
+func (m *members) mergeSelfReport(p *wire.Peering) (changed, started bool) {
 	r := m.records[p.Instance]
 	if r == nil {
 		r = &record{}
 		m.records[p.Instance] = r
 	}
 	old := r.peering
-	changed := old == nil || r.dead() || r.suspected() || old.Incarnation != p.Incarnation || old.Beat != p.Beat || old.Serving != p.Serving
+	started = old == nil || old.Incarnation < p.Incarnation
+	changed = old == nil || r.dead() || r.suspected() || old.Incarnation != p.Incarnation || old.Beat != p.Beat || old.Serving != p.Serving
 	if old != nil && old.Incarnation == p.Incarnation && p.Beat < old.Beat {
 		// A later exchange has arrived before this one.
 		p = old
 	}
+	m.urgent = m.urgent || old != nil && old.Serving && !p.Serving
 	r.peering, r.failures = p, 0
 	r.suspectedAt, r.deadAt = time.Time{}, time.Time{}
 	if changed {
-		r.changedAt = now
+		m.changed(r)
 		m.log.Info("gossiper: instance reported a change", zap.String("Instance", p.Instance), zap.String("Address", p.PeerAddress),
 			zap.Int64("Incarnation", p.Incarnation), zap.Int64("Beat", p.Beat), zap.Bool("Serving", p.Serving))
 	}
-	return changed
+	return changed, started
 }
 
 // mergePeerReport merges what an instance reports of another one. It returns
 // whether the record has changed.
 func (m *members) mergePeerReport(p *wire.Peering, now time.Time) bool {
 	r := m.records[p.Instance]
+	if r == nil && p.Suspected {
+		// One that has been forgotten here must not come back by those that still
+		// remember its loss. If it lives, it refutes the suspicion.
+		return false
+	}
 	if r == nil || newer(p, r.peering) {
 		known := r != nil && !r.dead()
 		if r == nil {
 			r = &record{}
 			m.records[p.Instance] = r
 		}
-		r.peering, r.failures, r.changedAt = p, 0, now
+		m.urgent = m.urgent || known && !r.suspected() && r.peering.Serving && (p.Suspected || !p.Serving)
+		r.peering, r.failures = p, 0
 		r.suspectedAt, r.deadAt = time.Time{}, time.Time{}
 		if p.Suspected {
 			r.suspectedAt = now
 		}
+		m.changed(r)
 		if !known {
 			m.log.Info("gossiper: instance discovered through a peer", zap.String("Instance", p.Instance), zap.String("Address", p.PeerAddress), zap.Int64("Incarnation", p.Incarnation))
 		}
 		return true
 	}
-	same := p.Incarnation == r.peering.Incarnation && p.Beat == r.peering.Beat
-	if p.Suspected && same && !r.suspected() && !r.dead() {
+	if p.Incarnation != r.peering.Incarnation || p.Beat != r.peering.Beat {
+		return false
+	}
+	if p.Suspected && !r.suspected() && !r.dead() {
 		m.suspect(r, now, "another instance did not reach it")
 		return true
 	}
+	if p.Suspected == (r.suspected() || r.dead()) {
+		r.tells = max(r.tells-heardTells, 0)
+	}
 	return false
 }
 
 func (m *members) suspect(r *record, now time.Time, why string) {
-	r.suspectedAt, r.changedAt = now, now
+	r.suspectedAt = now
+	m.urgent = m.urgent || r.peering.Serving
+	m.changed(r)
 	m.log.Warn("gossiper: instance suspected", zap.String("Instance", r.peering.Instance), zap.Int64("Beat", r.peering.Beat), zap.String("Why", why))
 }
 
 // recordFailure counts a failed exchange. It returns whether the instance at the
-// address has become suspected.
-func (m *members) recordFailure(address string, now time.Time) bool {
+// address has become suspected, and whether another failure would make it so.
+func (m *members) recordFailure(address string, now time.Time) (suspected, again bool) {
 	for _, r := range m.records {
-		if r.peering.PeerAddress != address || r.dead() {
+		if r.peering.PeerAddress != address || r.dead() || r.suspected() {
 			continue
 		}
-		r.failures++
-		if r.failures >= failuresToSuspect && !r.suspected() {
-			m.suspect(r, now, "it did not answer")
-			return true
+		if r.failures++; r.failures < failuresToSuspect {
+			return false, true
 		}
+		m.suspect(r, now, "it did not answer")
+		return true, false
 	}
-	return false
+	return false, false
 }
 
 // expire declares instances dead that did not refute a suspicion in time, and
@@ -166,7 +202,7 @@
 	changed := false
 	for name, r := range m.records {
 		if r.suspected() && !r.dead() && now.Sub(r.suspectedAt) >= suspicionTimeout {
-			r.deadAt, changed = now, true
+			r.deadAt, changed, m.peers = now, true, nil
 			m.log.Warn("gossiper: instance declared dead", zap.String("Instance", name), zap.Duration("SuspectedFor", now.Sub(r.suspectedAt)))
 		}
 		if r.dead() && now.Sub(r.deadAt) > forgetAfter {
@@ -178,25 +214,60 @@
 }
 
 // live returns the instances that are neither suspected nor dead, sorted by name.
+// The slice is shared and must not be changed.
 func (m *members) live() []Peer {
-	var peers []Peer
+	if m.peers != nil {
+		return m.peers
+	}
+	m.peers, m.digest = make([]Peer, 0, len(m.records)), 0
 	for _, r := range m.records {
 		if !r.suspected() && !r.dead() {
-			peers = append(peers, peerOf(r.peering))
+			m.peers = append(m.peers, peerOf(r.peering))
+			m.digest ^= digestOf(r.peering)
+		}
+	}
+	slices.SortFunc(m.peers, func(a, b Peer) int { return strings.Compare(string(a.Instance), string(b.Instance)) })
+	m.peers = slices.Clip(m.peers)
+	return m.peers
+}
+
+// liveDigest returns a hash of the states of all live instances.
+func (m *members) liveDigest() uint64 {
+	m.live()
+	return m.digest
+}
+
+// digestOf returns a hash of the state of an instance. Those of several instances are
+// combined by exclusive or.
+func digestOf(p *wire.Peering) uint64 {
+	var b [64]byte
+	key := append(b[:0], p.Instance...)
+	key = binary.LittleEndian.AppendUint64(key, uint64(p.Incarnation))
+	key = binary.LittleEndian.AppendUint64(key, uint64(p.Beat))
+	return xxhash.Sum64(key)
+}
+
+// hasNews reports whether there are states that must still be told.
+func (m *members) hasNews() bool {
+	for _, r := range m.records {
+		if r.tells > 0 {
+			return true
 		}
 	}
-	slices.SortFunc(peers, func(a, b Peer) int { return strings.Compare(string(a.Instance), string(b.Instance)) })
-	return peers
+	return false
 }
 
-// changedPeers returns the instances that changed within changeLifetime, or all
-// if full is set. Dead ones are left out.
-func (m *members) changedPeers(now time.Time, full bool) []*wire.Peering {
-	var changed []*wire.Peering
+// news returns the states that must still be told to others, which counts as one
+// tell of each, or all states if whole is set. Dead instances are then told as
+// suspected, so that one that is live refutes this.
+func (m *members) news(whole bool) []*wire.Peering {
+	var news []*wire.Peering
 	for _, r := range m.records {
-		if full && !r.dead() || now.Sub(r.changedAt) < changeLifetime && !r.dead() {
-			changed = append(changed, r.toWire())
+		if !whole && r.tells <= 0 {
+			continue
 		}
+		r.tells = max(r.tells-1, 0)
+		news = append(news, r.toWire())
 	}
-	return changed
+	return news
 }
--- a/gossiper/turn.go
+++ b/gossiper/turn.go
@@ -21,7 +21,7 @@
 	initialReadDelay = 50 * time.Millisecond
 	// initialReadDelayNonSeed is the delay of an instance that is not a seed: seeds
 	// that start at the same time read the store and pass the state on.
-	initialReadDelayNonSeed = 150 * time.Millisecond
+	initialReadDelayNonSeed = 600 * time.Millisecond
 	// initialReadStep is added to the delay for each rank, so that when a whole fleet
 	// starts a few instances read and the others get the state from them.
 	initialReadStep = 60 * time.Millisecond
@@ -35,7 +35,7 @@
 	rank, others := g.rank(kind)
 	if !complete {
 		wait := initialReadDelayNonSeed
-		if len(g.settings.Seeds) == 0 || slices.Contains(g.settings.Seeds, g.settings.Self.PeerAddress) {
+		if others > 0 || len(g.settings.Seeds) == 0 || slices.Contains(g.settings.Seeds, g.settings.Self.PeerAddress) {
 			wait = initialReadDelay
 		}
 		return wait + time.Duration(rank)*initialReadStep
@@ -52,7 +52,8 @@
 	if others <= FullMeshLimit {
 		return 0
 	}
-	rounds := math.Ceil(math.Log(float64(others)) / math.Log(fanOut+1))
+	// Within a data centre, to another one by a relay, and within that one.
+	rounds := math.Ceil(math.Log(float64(others))/math.Log(fanOut+1)) + 1
 	return time.Duration(rounds) * Period
 }
 
