Name the default of an unknown era after what it does

The linter found a selector that needed no embedded field, and the method in() said little at its callers. No behaviour changes; tests of replicator and gossiper pass.

--- a/replicator/position.go
+++ b/replicator/position.go
@@ -15,8 +15,8 @@
 // Before reports whether p is before other.
 func (p Position) Before(other Position) bool { return p.Compare(other) < 0 }
 
-// in returns the position with the given era if its own is not known.
-func (p Position) in(era int64) Position {
+// withDefaultEra returns the position with the given era if its own is not known.
+func (p Position) withDefaultEra(era int64) Position {
 	if p.Era == 0 {
 		p.Era = era
 	}
--- a/replicator/replicator.go
+++ b/replicator/replicator.go
@@ -172,7 +172,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	own := r.Position()
-	position := peer.Position.in(own.Era)
+	position := peer.withDefaultEra(own.Era)
 	return own.Before(position) || own == position && peer.Kept > len(r.overrides) && !r.rewritingOver()
 }
 
@@ -195,7 +195,7 @@
 	if err != nil {
 		return err
 	}
-	if own := r.Position(); l.Position.in(own.Era).Before(own) {
+	if own := r.Position(); l.Position.withDefaultEra(own.Era).Before(own) {
 		return fmt.Errorf("%w: listing at era %d, revision %d, and the state is at era %d, revision %d", ErrOutdated, l.Era, l.Revision, own.Era, own.Revision)
 	}
 	r.Replace(l, reading)
@@ -207,7 +207,7 @@
 func (r *Replicator) watch(ctx context.Context, from Position, wait time.Duration) (done bool, err error) {
 	reading := Reading{At: r.settings.Clock.Now()}
 	c, err := r.settings.Source.Watch(ctx, r.settings.Kind, from.Revision, wait)
-	switch era := c.Position.in(from.Era).Era; {
+	switch era := c.Position.withDefaultEra(from.Era).Era; {
 	case errors.Is(err, ErrHistoryGone):
 		r.settings.Log.Info("replicator: store no longer holds the history, listing all objects", zap.String("Kind", r.settings.Kind), zap.Int64("Revision", from.Revision))
 		return false, nil
@@ -284,7 +284,7 @@
 func (r *Replicator) Confirm(p Position, at time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if own := r.Position(); r.state.Load() != nil && p.in(own.Era) == own {
+	if own := r.Position(); r.state.Load() != nil && p.withDefaultEra(own.Era) == own {
 		r.confirm(at)
 	}
 }
@@ -317,7 +317,7 @@
 	old := r.state.Load()
 	position := l.Position
 	if old != nil {
-		position = position.in(old.Era)
+		position = position.withDefaultEra(old.Era)
 	}
 	if old != nil && position.Before(old.Position) {
 		r.settings.Log.Info("replicator: listing is older than the state, ignored", zap.String("Kind", r.settings.Kind), zap.Int64("Era", l.Era),
@@ -369,7 +369,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	old := r.state.Load()
-	if old == nil || c.Position.in(old.Era).Era != old.Era || after > max(old.Revision, r.cursor) || c.Revision < old.Revision {
+	if old == nil || c.Position.withDefaultEra(old.Era).Era != old.Era || after > max(old.Revision, r.cursor) || c.Revision < old.Revision {
 		return
 	}
 	seenAt := r.confirmedAt
@@ -408,7 +408,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	state := r.state.Load()
-	if state == nil || p.in(state.Era).Era != state.Era || p.Revision < r.historyStart {
+	if state == nil || p.withDefaultEra(state.Era).Era != state.Era || p.Revision < r.historyStart {
 		return Changes{}, false
 	}
 	c := Changes{Position: state.Position}
