--- a/sender/limit_test.go
+++ b/sender/limit_test.go
@@ -62,10 +62,10 @@
 			continue
 		}
 		now := time.Now()
-		if !r.MayRepeat(now) || !r.Permit(now, false) {
+		if !r.MayHedge(now) || !r.Permit(now, false) {
 			t.Fatal("two requests are not admitted after a second at 4/s")
 		}
-		if r.MayRepeat(now) {
+		if r.MayHedge(now) {
 			t.Error("a hedge may use the last request that the limit allows")
 		}
 		if !r.Admissible(now) {
--- a/sender/run.go
+++ b/sender/run.go
@@ -175,7 +175,7 @@
 		switch {
 		case r.wasAttempted(replica) || !replica.Usable(now):
 			skip |= 1 << i
-		case !replica.Admissible(now) || kind == Hedge && !replica.MayRepeat(now):
+		case !replica.Admissible(now) || kind == Hedge && !replica.MayHedge(now):
 			exhausted |= 1 << i
 		case replica.SilentFor(now) > silenceLimit || !replica.Pool.HasCapacity():
 			lastResort |= 1 << i
--- a/tracker/limit.go
+++ b/tracker/limit.go
@@ -168,9 +168,9 @@
 	return time.Duration(math.Ceil(missing / float64(l.bucket.Limit()) * float64(time.Second)))
 }
 
-// MayRepeat reports whether the limit that the target names allows a hedge now. One
+// MayHedge reports whether the limit that the target names allows a hedge now. One
 // token is left for a request that has no other attempt.
-func (r *Replica) MayRepeat(now time.Time) bool {
+func (r *Replica) MayHedge(now time.Time) bool {
 	if !r.limited.Load() {
 		return true
 	}
