Log the evidence on a version while its move is under way

The lines on a move said when it was requested and when a version was found bad or good, but not what an instance held in between, so that a comparison that hides a fault looked like evidence that never came. Attempts that a hedge overtook or that ended with a deadline left no trace at all.

Each instance now logs every 2 s, for each move under way, the counts of the version and of the others, its own and those of all instances, and the attempts that are not counted.

--- a/conductor/moves.go
+++ b/conductor/moves.go
@@ -37,8 +37,11 @@
 }
 
 // observe passes the result of an attempt to the promoter.
-func (c *Conductor) observe(call sender.Call, version jujubegate.Version, failed bool, took time.Duration) {
-	c.promoter.Observe(call.Service, version, call.Route.Name, failed, took)
+func (c *Conductor) observe(o sender.Observation) {
+	c.promoter.Observe(promoter.Observation{
+		Service: o.Call.Service, Version: o.Version, Route: o.Call.Route.Name,
+		Ended: o.Result == sender.Answered || o.Result == sender.Broken, Failed: o.Failed(), Took: o.Took, Typical: o.Typical, Cold: o.Cold,
+	})
 }
 
 // localTallies returns this instance's tallies of the services being moved.
--- a/promoter/evidence.go
+++ b/promoter/evidence.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"time"
 
+	"go.uber.org/zap"
+
 	"jujubegate.example/jujubegate"
 )
 
@@ -38,6 +40,10 @@
 	// failed. Took is the total latency of all answers.
 	Answers, Failures int64
 	Took              time.Duration
+	// Uncounted is the number of attempts that did not end with an answer or a broken
+	// exchange, and UncountedSlow those of them that took longer than slowFactor times
+	// the median of the route. They are not passed on to other instances.
+	Uncounted, UncountedSlow int64
 }
 
 // add returns the sum of two tallies.
@@ -60,18 +66,49 @@
 	return evidence{own: make(map[tallyKey]Tally), peers: make(map[string]map[tallyKey]Tally)}
 }
 
-// observe counts an answer that this instance received.
-func (e *evidence) observe(k tallyKey, failed bool, took time.Duration) {
+// observe counts an attempt of this instance.
+func (e *evidence) observe(o Observation) {
+	k := tallyKey{o.Service, o.Version, o.Route}
 	t := e.own[k]
 	t.Service, t.Version, t.Route = k.service, k.version, k.route
-	t.Answers++
-	t.Took += took
-	if failed {
-		t.Failures++
+	switch {
+	case o.Ended:
+		t.Answers++
+		t.Took += o.Took
+		if o.Failed {
+			t.Failures++
+		}
+	default:
+		t.Uncounted++
+		if float64(o.Took) > slowFactor*float64(o.Typical) {
+			t.UncountedSlow++
+		}
 	}
 	e.own[k] = t
 }
 
+// report logs the evidence of each move under way every reportPeriod.
+func (p *Promoter) report(now time.Time) {
+	if now.Sub(p.reportedAt) < reportPeriod {
+		return
+	}
+	p.reportedAt = now
+	for _, m := range p.moves {
+		if m.State != Running {
+			continue
+		}
+		candidate, others := p.evidence.sumByRoute(m.Service, m.Version)
+		for route, c := range candidate {
+			o, own := others[route], p.evidence.own[tallyKey{m.Service, m.Version, route}]
+			p.settings.Log.Info("promoter: evidence of the move", zap.String("Service", string(m.Service)), zap.String("Version", string(m.Version)),
+				zap.String("Route", string(route)), zap.Int("Peers", len(p.evidence.peers)),
+				zap.Int64("Answers", c.Answers), zap.Int64("Failures", c.Failures), zap.Duration("Mean", c.mean()),
+				zap.Int64("OthersAnswers", o.Answers), zap.Int64("OthersFailures", o.Failures), zap.Duration("OthersMean", o.mean()),
+				zap.Int64("OwnAnswers", own.Answers), zap.Int64("OwnUncounted", own.Uncounted), zap.Int64("OwnUncountedSlow", own.UncountedSlow))
+		}
+	}
+}
+
 // reset deletes all tallies of a service, at the start of a new move.
 func (e *evidence) reset(service jujubegate.Service) {
 	for _, tallies := range append([]map[tallyKey]Tally{e.own}, mapValues(e.peers)...) {
--- a/promoter/promoter.go
+++ b/promoter/promoter.go
@@ -34,6 +34,8 @@
 	rankDelay = 600 * time.Millisecond
 	// maxWriteBackoff bounds the time between two attempts to write a state.
 	maxWriteBackoff = 5 * time.Second
+	// reportPeriod is the time between two log lines on the evidence of a move.
+	reportPeriod = 2 * time.Second
 	// writeTimeout bounds writing a state.
 	writeTimeout = 2 * time.Second
 )
@@ -83,6 +85,8 @@
 	mu       sync.Mutex
 	moves    map[jujubegate.Service]*move
 	evidence evidence
+	// reportedAt is when the evidence was last logged.
+	reportedAt time.Time
 }
 
 // move is a move with this instance's decision.
@@ -171,14 +175,29 @@
 	return Plan{m.Version, canaryShare}
 }
 
-// Observe records the result of one attempt, if the service has a move.
-func (p *Promoter) Observe(service jujubegate.Service, version jujubegate.Version, route jujubegate.Route, failed bool, took time.Duration) {
+// Observation is the end of one attempt at a target.
+type Observation struct {
+	Service jujubegate.Service
+	Version jujubegate.Version
+	Route   jujubegate.Route
+	// Ended is set if the target answered or broke the exchange off, and Failed if it
+	// failed the request. Without Ended, all that is known is that it took at least
+	// Took.
+	Ended, Failed bool
+	// Typical is the median of Took on the route; 0 if it is unknown.
+	Took, Typical time.Duration
+	// Cold is set if the target was cold.
+	Cold bool
+}
+
+// Observe records an attempt, if the service has a move.
+func (p *Promoter) Observe(o Observation) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.moves[service] == nil {
+	if p.moves[o.Service] == nil {
 		return
 	}
-	p.evidence.observe(tallyKey{service, version, route}, failed, took)
+	p.evidence.observe(o)
 }
 
 // Run reviews the moves and writes their states until the context ends.
@@ -200,6 +219,7 @@
 	now := p.settings.Clock.Now()
 	delay := time.Duration(p.settings.Rank()) * rankDelay
 	p.mu.Lock()
+	p.report(now)
 	rolledBack := false
 	var due []move
 	for _, m := range p.moves {
--- a/promoter/promoter_test.go
+++ b/promoter/promoter_test.go
@@ -118,7 +118,7 @@
 							candidate++
 						}
 						failed := version == requested.Version && time.Since(start) >= c.failsFrom && random.Float64() < c.failureRate
-						p.Observe("s", version, "r", failed, 10*time.Millisecond)
+						p.Observe(Observation{Service: "s", Version: version, Route: "r", Ended: true, Failed: failed, Took: 10 * time.Millisecond})
 					}
 					select {
 					case <-done:
--- a/sender/call.go
+++ b/sender/call.go
@@ -1,6 +1,7 @@
 package sender
 
 import (
+	"net/http"
 	"time"
 
 	"jujubegate.example/jujubegate"
@@ -62,6 +63,25 @@
 	Cancelled AttemptResult = "Cancelled"
 )
 
+// Observation is the end of one attempt as evidence on the version of its target.
+type Observation struct {
+	Call    Call
+	Version jujubegate.Version
+	Result  AttemptResult
+	// Status is that of the answer, if there is one.
+	Status int
+	// Took is the time from sending the attempt to its end, and Typical the median of
+	// the route; 0 if it is unknown.
+	Took, Typical time.Duration
+	// Cold is set if the target was cold, and therefore slow.
+	Cold bool
+}
+
+// Failed reports whether the target failed the request.
+func (o *Observation) Failed() bool {
+	return o.Result == Broken || o.Result == Answered && o.Status >= http.StatusInternalServerError
+}
+
 // Late is the reason for a call that was abandoned because its answer was no
 // longer needed, for instance because the query was answered without it.
 const Late jujubegate.Reason = "Late"
--- a/sender/run.go
+++ b/sender/run.go
@@ -231,8 +231,11 @@
 	if result == Answered || result == Overtaken {
 		r.latency.Observe(now, took)
 	}
-	if observe := r.sender.settings.Observe; observe != nil && (result == Answered || result == Broken) {
-		observe(r.call, replica.Entry().Version, result == Broken || answer.Status >= 500, took)
+	if observe := r.sender.settings.Observe; observe != nil {
+		observe(Observation{
+			Call: r.call, Version: replica.Entry().Version, Result: result, Status: answer.Status,
+			Took: took, Typical: r.latency.Typical(), Cold: replica.IsCold(now),
+		})
 	}
 	r.results <- &completion{index: index, replica: replica, answer: answer, err: err, sentAt: sentAt, result: result}
 }
--- a/sender/sender.go
+++ b/sender/sender.go
@@ -61,9 +61,8 @@
 	// Plan returns how the requests of a service are split between versions; nil
 	// means no split.
 	Plan func(service jujubegate.Service) promoter.Plan
-	// Observe is called after each attempt that was answered or broken, with the
-	// version of the target; nil means no calls.
-	Observe func(c Call, version jujubegate.Version, failed bool, took time.Duration)
+	// Observe is called after each attempt; nil means no calls.
+	Observe func(Observation)
 	Seed    uint64
 	// NewTimer starts a timer that can be stopped; nil means time.NewTimer. One
 	// that cannot be stopped, like that of Clock.After, would needlessly wake up
--- a/tracker/cold.go
+++ b/tracker/cold.go
@@ -17,7 +17,7 @@
 // limitCold limits the rate of the requests that a cold target gets from this
 // instance. Targets of a service without a ColdRate are not limited.
 func (t *Tracker) limitCold(r *Replica, now time.Time) {
-	if t.table == nil || !r.isCold(now) {
+	if t.table == nil || !r.IsCold(now) {
 		return
 	}
 	s, ok := t.table.Service(r.Entry().Service)
--- a/tracker/replica.go
+++ b/tracker/replica.go
@@ -165,8 +165,8 @@
 	r.coldLimiter = nil
 }
 
-// isCold reports whether the target is still cold.
-func (r *Replica) isCold(now time.Time) bool {
+// IsCold reports whether the target is still cold.
+func (r *Replica) IsCold(now time.Time) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return now.Before(r.coldUntil)
