Judge each answer of a new version by the others of the same moment

Callers kept getting failures of a bad version until its deadline, and then from all targets, if the other version was or had been disturbed. The comparison asked for five times the failure rate of the others since the move began: while they fail one in five nothing is above that, and what they failed before counts until the end. Of a version that failed half of its requests, 48 of 86 answers against 410 of 1,968 were not enough. Mean latencies were of answered attempts only; those that a hedge overtook or a deadline ended are the slow ones.

Each attempt at the new version is now compared with those at the others in the same second and a half on the same route, as a log-likelihood ratio, and the ratios are added up (CUSUM), over instances and routes. A disturbance of all versions is no evidence, one that is over hides nothing, and good answers before a late fault do not dilute it. An attempt counts as slow once it lasts longer than 2.5 times the median of its route, answered or not, unless its target is cold. The canary is paused while the others fail more than a quarter, when nothing can be told; a version that is then still suspected at the end, or has never answered, is not completed; and one that was found good is judged on until the store has confirmed it.

The bound for few slow answers stays at five. TestMoves is unchanged.

--- a/conductor/moves.go
+++ b/conductor/moves.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"time"
+	"math"
 
 	"go.uber.org/zap"
 
@@ -51,19 +51,25 @@
 	for _, t := range tallies {
 		encoded = append(encoded, &wire.Tally{
 			Service: string(t.Service), Version: string(t.Version), Route: string(t.Route),
-			Answers: t.Answers, Bad: t.Failures, TookUs: t.Took.Microseconds(),
+			Answers: t.Answers, Bad: t.Failures, Slow: t.Slow, FailureEvidence: t.FailureEvidence, SlowEvidence: t.SlowEvidence,
 		})
 	}
 	return encoded
 }
 
+func isFinite(x float64) bool { return !math.IsNaN(x) && !math.IsInf(x, 0) }
+
 // updatePeerTallies replaces the tallies of a peer.
 func (c *Conductor) updatePeerTallies(peer string, received []*wire.Tally) {
 	tallies := make([]promoter.Tally, 0, len(received))
 	for _, t := range received {
+		if !isFinite(t.FailureEvidence) || !isFinite(t.SlowEvidence) {
+			c.log.Warn("conductor: tally of a peer cannot be used", zap.String("Peer", peer), zap.String("Service", t.Service))
+			continue
+		}
 		tallies = append(tallies, promoter.Tally{
 			Service: jujubegate.Service(t.Service), Version: jujubegate.Version(t.Version), Route: jujubegate.Route(t.Route),
-			Answers: t.Answers, Failures: t.Bad, Took: time.Duration(t.TookUs) * time.Microsecond,
+			Answers: t.Answers, Failures: t.Bad, Slow: t.Slow, FailureEvidence: t.FailureEvidence, SlowEvidence: t.SlowEvidence,
 		})
 	}
 	c.promoter.SetPeerTallies(peer, tallies)
--- a/promoter/evidence.go
+++ b/promoter/evidence.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"time"
 
 	"go.uber.org/zap"
@@ -10,183 +11,276 @@
 )
 
 const (
-	// A version is bad if on one route it has at least minFailures failures, a
-	// failure rate above maxGoodFailureRate, and more than failureRateFactor
-	// times the failure rate of the other versions.
-	minFailures        = 4
-	failureRateFactor  = 5
-	maxGoodFailureRate = 0.08
-	// A version is also bad if its mean latency on a route is more than
-	// slowFactor times that of the other versions, with at least
-	// minTimedAnswers answers of each.
-	minTimedAnswers = 15
-	slowFactor      = 2.2
+	// An attempt is slow if it takes more than slowFactor times the median of its
+	// route, whether it was answered or not.
+	slowFactor = 2.5
+	// rejectEvidence is the evidence from which on a version is bad: e^10 to 1 that it is
+	// not like the others. Five failures in a row, or six slow answers, reach it.
+	rejectEvidence = 10
+	// confirmTime is for how long the evidence must stay above rejectEvidence. A short
+	// stall of a target makes many answers slow or fail at once.
+	confirmTime = time.Second
+	// maxEvidence bounds the evidence, so that such a stall is soon outweighed.
+	maxEvidence = 1.5 * rejectEvidence
+	// doubtEvidence is the evidence from which on a version is not completed.
+	doubtEvidence = 3
+	// minOthersAnswers is the number of answers of the other versions from which on a
+	// version without any must not be completed: it cannot be reached.
+	minOthersAnswers = 100
+	// maxCanaryFailureRate is the failure rate of the other versions above which the
+	// canary is paused: its answers could not be told from theirs.
+	maxCanaryFailureRate = 0.25
 )
 
-// tallyKey identifies a tally. It includes the route, as a fault can show on
-// one route only.
-type tallyKey struct {
-	service jujubegate.Service
-	version jujubegate.Version
-	route   jujubegate.Route
+// hypothesis describes what the answers of a bad version are like: their rate of
+// failures, or of slow answers, is higher than that of the other versions by excess.
+type hypothesis struct {
+	// least is the rate that every version may have.
+	least  float64
+	excess float64
+}
+
+var (
+	failing = hypothesis{least: 0.02, excess: 0.15}
+	slow    = hypothesis{least: 0.05, excess: 0.3}
+)
+
+// highestRate bounds the rates of a hypothesis, so that one good answer does not
+// outweigh all others.
+const highestRate = 0.95
+
+// evidence returns the log-likelihood ratio of hits among n answers, if hits of the
+// other versions at the same time were at the rate reference.
+func (h hypothesis) evidence(n, hits int64, reference float64) float64 {
+	usual := min(max(reference, h.least), highestRate-h.excess)
+	bad := usual + h.excess
+	return float64(hits)*math.Log(bad/usual) + float64(n-hits)*math.Log((1-bad)/(1-usual))
 }
 
-// Tally counts the answers of one version on one route as seen by one instance.
+// Tally is what one instance has seen of the version of a move on one route, as a
+// fault can show on one route only.
 type Tally struct {
 	Service jujubegate.Service
 	Version jujubegate.Version
 	Route   jujubegate.Route
-	// Answers is the number of all answers, and Failures the number of those that
-	// failed. Took is the total latency of all answers.
-	Answers, Failures int64
-	Took              time.Duration
-	// Uncounted is the number of attempts that did not end with an answer or a broken
-	// exchange, and UncountedSlow those of them that took longer than slowFactor times
-	// the median of the route. They are not passed on to other instances.
-	Uncounted, UncountedSlow int64
+	// Answers is the number of attempts that were judged; Failures and Slow are those
+	// of them that failed and that were slow.
+	Answers, Failures, Slow int64
+	// FailureEvidence and SlowEvidence are the sums of the log-likelihood ratios of the
+	// hypotheses failing and slow. Sums of several instances and routes may be added
+	// up, since each answer was compared with those that its instance got at the same
+	// time on the same route. Those of several services may not, as each has its own
+	// move.
+	FailureEvidence, SlowEvidence float64
 }
 
 // add returns the sum of two tallies.
 func (t Tally) add(other Tally) Tally {
-	t.Answers, t.Failures, t.Took = t.Answers+other.Answers, t.Failures+other.Failures, t.Took+other.Took
+	t.Answers, t.Failures, t.Slow = t.Answers+other.Answers, t.Failures+other.Failures, t.Slow+other.Slow
+	t.FailureEvidence, t.SlowEvidence = t.FailureEvidence+other.FailureEvidence, t.SlowEvidence+other.SlowEvidence
 	return t
 }
 
-func (t Tally) failureRate() float64 { return float64(t.Failures) / float64(max(t.Answers, 1)) }
+// allRoutes is the key of the suspicion for all routes together.
+const allRoutes = jujubegate.Route("")
+
+// suspicion is the evidence since it was last in favour of the version (CUSUM). A
+// fault that shows late is not hidden by the good answers before it.
+type suspicion struct{ failing, slow float64 }
 
-func (t Tally) mean() time.Duration { return t.Took / time.Duration(max(t.Answers, 1)) }
+// add returns the suspicion after more evidence.
+func (s suspicion) add(t Tally) suspicion {
+	return suspicion{
+		failing: min(max(s.failing+t.FailureEvidence, 0), maxEvidence),
+		slow:    min(max(s.slow+t.SlowEvidence, 0), maxEvidence),
+	}
+}
 
-// evidence holds the tallies of this instance and, by peer, those of its peers.
+func (s suspicion) greatest() float64 { return max(s.failing, s.slow) }
+
+// evidence is what is known of the version of one move.
 type evidence struct {
-	own   map[tallyKey]Tally
-	peers map[string]map[tallyKey]Tally
+	service jujubegate.Service
+	version jujubegate.Version
+	// own holds what this instance has seen, and peers the tallies of its peers.
+	own   map[jujubegate.Route]*series
+	peers map[string]map[jujubegate.Route]Tally
+	// totals are the sums over all instances at the last review.
+	totals     map[jujubegate.Route]Tally
+	suspicions map[jujubegate.Route]suspicion
+	// suspectedSince is since when the evidence has been above rejectEvidence; zero if
+	// it is not.
+	suspectedSince time.Time
 }
 
-func newEvidence() evidence {
-	return evidence{own: make(map[tallyKey]Tally), peers: make(map[string]map[tallyKey]Tally)}
+func newEvidence(service jujubegate.Service, version jujubegate.Version) *evidence {
+	return &evidence{
+		service: service, version: version,
+		own: make(map[jujubegate.Route]*series), peers: make(map[string]map[jujubegate.Route]Tally),
+		totals: make(map[jujubegate.Route]Tally), suspicions: make(map[jujubegate.Route]suspicion),
+	}
 }
 
 // observe counts an attempt of this instance.
-func (e *evidence) observe(o Observation) {
-	k := tallyKey{o.Service, o.Version, o.Route}
-	t := e.own[k]
-	t.Service, t.Version, t.Route = k.service, k.version, k.route
-	switch {
-	case o.Ended:
-		t.Answers++
-		t.Took += o.Took
-		if o.Failed {
-			t.Failures++
-		}
-	default:
-		t.Uncounted++
-		if float64(o.Took) > slowFactor*float64(o.Typical) {
-			t.UncountedSlow++
-		}
+func (e *evidence) observe(now time.Time, o Observation) {
+	s := e.own[o.Route]
+	if s == nil {
+		s = &series{tally: Tally{Service: e.service, Version: e.version, Route: o.Route}}
+		e.own[o.Route] = s
 	}
-	e.own[k] = t
+	s.observe(now, o, o.Version == e.version)
 }
 
-// report logs the evidence of each move under way every reportPeriod.
-func (p *Promoter) report(now time.Time) {
-	if now.Sub(p.reportedAt) < reportPeriod {
-		return
+// ownTallies returns the tallies of this instance.
+func (e *evidence) ownTallies(now time.Time) []Tally {
+	tallies := make([]Tally, 0, len(e.own))
+	for _, s := range e.own {
+		s.settle(bucketIndex(now) - settleAfter)
+		tallies = append(tallies, s.tally)
 	}
-	p.reportedAt = now
-	for _, m := range p.moves {
-		if m.State != Running {
-			continue
-		}
-		candidate, others := p.evidence.sumByRoute(m.Service, m.Version)
-		for route, c := range candidate {
-			o, own := others[route], p.evidence.own[tallyKey{m.Service, m.Version, route}]
-			p.settings.Log.Info("promoter: evidence of the move", zap.String("Service", string(m.Service)), zap.String("Version", string(m.Version)),
-				zap.String("Route", string(route)), zap.Int("Peers", len(p.evidence.peers)),
-				zap.Int64("Answers", c.Answers), zap.Int64("Failures", c.Failures), zap.Duration("Mean", c.mean()),
-				zap.Int64("OthersAnswers", o.Answers), zap.Int64("OthersFailures", o.Failures), zap.Duration("OthersMean", o.mean()),
-				zap.Int64("OwnAnswers", own.Answers), zap.Int64("OwnUncounted", own.Uncounted), zap.Int64("OwnUncountedSlow", own.UncountedSlow))
-		}
+	return tallies
+}
+
+// settleAll judges all attempts of this instance up to now.
+func (e *evidence) settleAll(now time.Time) {
+	for _, s := range e.own {
+		s.settle(bucketIndex(now))
 	}
 }
 
-// reset deletes all tallies of a service, at the start of a new move.
-func (e *evidence) reset(service jujubegate.Service) {
-	for _, tallies := range append([]map[tallyKey]Tally{e.own}, mapValues(e.peers)...) {
-		for k := range tallies {
-			if k.service == service {
-				delete(tallies, k)
-			}
+// sums returns the sums over all instances by route.
+func (e *evidence) sums(now time.Time) map[jujubegate.Route]Tally {
+	sums := make(map[jujubegate.Route]Tally)
+	add := func(t Tally) {
+		sum := sums[t.Route]
+		sum.Service, sum.Version, sum.Route = e.service, e.version, t.Route
+		sums[t.Route] = sum.add(t)
+	}
+	for _, t := range e.ownTallies(now) {
+		add(t)
+	}
+	for _, tallies := range e.peers {
+		for _, t := range tallies {
+			add(t)
 		}
 	}
+	return sums
 }
 
-func mapValues(m map[string]map[tallyKey]Tally) []map[tallyKey]Tally {
-	values := make([]map[tallyKey]Tally, 0, len(m))
-	for _, v := range m {
-		values = append(values, v)
+// review adds what has become known since the last review to the suspicions. It
+// returns why the version is bad, or "".
+func (e *evidence) review(now time.Time) string {
+	var gained Tally
+	for route, sum := range e.sums(now) {
+		old := e.totals[route]
+		delta := Tally{FailureEvidence: sum.FailureEvidence - old.FailureEvidence, SlowEvidence: sum.SlowEvidence - old.SlowEvidence}
+		e.totals[route] = sum
+		e.suspicions[route] = e.suspicions[route].add(delta)
+		gained = gained.add(delta)
+	}
+	e.suspicions[allRoutes] = e.suspicions[allRoutes].add(gained)
+	route, s := e.greatest()
+	if s.greatest() < rejectEvidence {
+		e.suspectedSince = time.Time{}
+		return ""
+	}
+	if e.suspectedSince.IsZero() {
+		e.suspectedSince = now
+	}
+	if now.Sub(e.suspectedSince) < confirmTime {
+		return ""
 	}
-	return values
+	return e.describe(route, s)
 }
 
-// sumByRoute sums the tallies of a service over all instances. It returns the
-// sums by route, for the version and for all other versions.
-func (e *evidence) sumByRoute(service jujubegate.Service, version jujubegate.Version) (candidate, others map[jujubegate.Route]Tally) {
-	candidate, others = make(map[jujubegate.Route]Tally), make(map[jujubegate.Route]Tally)
-	for _, tallies := range append([]map[tallyKey]Tally{e.own}, mapValues(e.peers)...) {
-		for k, t := range tallies {
-			switch {
-			case k.service != service:
-			case k.version == version:
-				candidate[k.route] = candidate[k.route].add(t)
-			default:
-				others[k.route] = others[k.route].add(t)
-			}
+// greatest returns the greatest suspicion and its route.
+func (e *evidence) greatest() (jujubegate.Route, suspicion) {
+	greatestRoute, greatest := allRoutes, e.suspicions[allRoutes]
+	for route, s := range e.suspicions {
+		if s.greatest() > greatest.greatest() {
+			greatestRoute, greatest = route, s
 		}
 	}
-	return candidate, others
+	return greatestRoute, greatest
 }
 
-// fault describes why a version is bad in comparison with the others on the
-// same route. It returns "" if the version is not bad.
-func (e *evidence) fault(service jujubegate.Service, version jujubegate.Version) string {
-	candidate, others := e.sumByRoute(service, version)
-	for route, c := range candidate {
-		o := others[route]
-		if c.Failures >= minFailures && c.failureRate() > maxGoodFailureRate && c.failureRate() > failureRateFactor*o.failureRate() {
-			return fmt.Sprintf("%d of %d answers on route %s failed, with the other versions %d of %d", c.Failures, c.Answers, route, o.Failures, o.Answers)
-		}
-		if c.Answers >= minTimedAnswers && o.Answers >= minTimedAnswers && float64(c.mean()) > slowFactor*float64(o.mean()) {
-			return fmt.Sprintf("answers on route %s take %v on average, with the other versions %v", route, c.mean(), o.mean())
+// describe says why a version is suspected on a route or on all.
+func (e *evidence) describe(route jujubegate.Route, s suspicion) string {
+	sum, where := e.totals[route], "route "+string(route)
+	if route == allRoutes {
+		where = "all routes"
+		for _, t := range e.totals {
+			sum = sum.add(t)
 		}
 	}
-	return ""
+	return fmt.Sprintf("%d of %d answers on %s failed and %d were slow (evidence %.1f and %.1f)",
+		sum.Failures, sum.Answers, where, sum.Slow, s.failing, s.slow)
 }
 
-// Tallies returns the tallies of this instance, which are sent to its peers.
-func (p *Promoter) Tallies() []Tally {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	tallies := make([]Tally, 0, len(p.evidence.own))
-	for _, t := range p.evidence.own {
-		tallies = append(tallies, t)
+// answers returns the number of attempts that were judged, by all instances.
+func (e *evidence) answers() int64 {
+	var n int64
+	for _, t := range e.totals {
+		n += t.Answers
 	}
-	return tallies
+	return n
 }
 
-// SetPeerTallies replaces the tallies of a peer. Tallies of services without a
-// move are ignored.
-func (p *Promoter) SetPeerTallies(peer string, tallies []Tally) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	received := make(map[tallyKey]Tally, len(tallies))
-	for _, t := range tallies {
-		if p.moves[t.Service] != nil {
-			received[tallyKey{t.Service, t.Version, t.Route}] = t
+// doubt says why a version that was not found bad must not be completed either, or "".
+func (e *evidence) doubt() string {
+	switch {
+	case e.answers() == 0 && e.othersAnswers() >= minOthersAnswers:
+		return fmt.Sprintf("no answer in time, with the other versions %d", e.othersAnswers())
+	}
+	if route, s := e.greatest(); s.greatest() >= doubtEvidence {
+		return "not found good in time: " + e.describe(route, s)
+	}
+	return ""
+}
+
+// othersFailing reports whether the other versions fail too many requests at present
+// for the canary to be judged.
+func (e *evidence) othersFailing(now time.Time) bool {
+	for _, s := range e.own {
+		if s.reference(now).rate(failing) > maxCanaryFailureRate {
+			return true
 		}
 	}
-	if len(received) == 0 {
-		delete(p.evidence.peers, peer)
+	return false
+}
+
+// othersAnswers returns the number of attempts at other versions by this instance.
+func (e *evidence) othersAnswers() int64 {
+	var n int64
+	for _, s := range e.own {
+		n += s.others
+	}
+	return n
+}
+
+// report logs the evidence of each move under way every reportPeriod.
+func (p *Promoter) report(now time.Time) {
+	if now.Sub(p.reportedAt) < reportPeriod {
 		return
 	}
-	p.evidence.peers[peer] = received
+	p.reportedAt = now
+	for _, m := range p.moves {
+		if m.State != Running {
+			continue
+		}
+		for route, sum := range m.evidence.sums(now) {
+			fields := []zap.Field{
+				zap.String("Service", string(m.Service)), zap.String("Version", string(m.Version)), zap.String("Route", string(route)),
+				zap.Int("Peers", len(m.evidence.peers)), zap.Int64("Answers", sum.Answers), zap.Int64("Failures", sum.Failures), zap.Int64("Slow", sum.Slow),
+				zap.Float64("FailureEvidence", m.evidence.suspicions[route].failing), zap.Float64("SlowEvidence", m.evidence.suspicions[route].slow),
+				zap.Bool("Paused", m.paused),
+			}
+			if s := m.evidence.own[route]; s != nil {
+				reference := s.reference(now)
+				fields = append(fields, zap.Int64("OwnAnswers", s.tally.Answers), zap.Int64("OwnUncounted", s.uncounted),
+					zap.Float64("OthersFailureRate", reference.rate(failing)), zap.Float64("OthersSlowRate", reference.rate(slow)))
+			}
+			p.settings.Log.Info("promoter: evidence of the move", fields...)
+		}
+	}
 }
--- a/promoter/promoter.go
+++ b/promoter/promoter.go
@@ -82,9 +82,8 @@
 type Promoter struct {
 	settings Settings
 
-	mu       sync.Mutex
-	moves    map[jujubegate.Service]*move
-	evidence evidence
+	mu    sync.Mutex
+	moves map[jujubegate.Service]*move
 	// reportedAt is when the evidence was last logged.
 	reportedAt time.Time
 }
@@ -105,11 +104,15 @@
 	dueAt     time.Time
 	notBefore time.Time
 	backoff   time.Duration
+	evidence  *evidence
+	// paused is set while the version gets no requests, as its answers could not be
+	// judged.
+	paused bool
 }
 
 // New returns a promoter without moves.
 func New(settings Settings) *Promoter {
-	return &Promoter{settings: settings, moves: make(map[jujubegate.Service]*move), evidence: newEvidence()}
+	return &Promoter{settings: settings, moves: make(map[jujubegate.Service]*move)}
 }
 
 // Update replaces the moves with those in the store. Earliest is a time before
@@ -122,9 +125,8 @@
 		listed[next.Service] = struct{}{}
 		m := p.moves[next.Service]
 		if m == nil || m.Version != next.Version {
-			m = &move{requestedAt: earliest, dueAt: earliest}
+			m = &move{requestedAt: earliest, dueAt: earliest, evidence: newEvidence(next.Service, next.Version)}
 			p.moves[next.Service] = m
-			p.evidence.reset(next.Service)
 			p.settings.Log.Info("promoter: move requested", zap.String("Service", string(next.Service)),
 				zap.String("Version", string(next.Version)), zap.Duration("Duration", next.Duration), zap.Int64("Revision", next.Revision))
 		}
@@ -172,6 +174,9 @@
 	case RolledBack:
 		return Plan{m.Version, 0}
 	}
+	if m.paused {
+		return Plan{m.Version, 0}
+	}
 	return Plan{m.Version, canaryShare}
 }
 
@@ -194,10 +199,43 @@
 func (p *Promoter) Observe(o Observation) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.moves[o.Service] == nil {
-		return
+	if m := p.moves[o.Service]; m != nil && m.State == Running {
+		m.evidence.observe(p.settings.Clock.Now(), o)
+	}
+}
+
+// slow reports whether the attempt took much longer than usual.
+func (o *Observation) slow() bool { return float64(o.Took) > slowFactor*float64(o.Typical) }
+
+// Tallies returns the tallies of this instance, which are sent to its peers.
+func (p *Promoter) Tallies() []Tally {
+	now := p.settings.Clock.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var tallies []Tally
+	for _, m := range p.moves {
+		if m.State == Running {
+			tallies = append(tallies, m.evidence.ownTallies(now)...)
+		}
+	}
+	return tallies
+}
+
+// SetPeerTallies replaces the tallies of a peer. Those of services without a move are
+// ignored.
+func (p *Promoter) SetPeerTallies(peer string, tallies []Tally) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, t := range tallies {
+		m := p.moves[t.Service]
+		if m == nil || m.Version != t.Version {
+			continue
+		}
+		if m.evidence.peers[peer] == nil {
+			m.evidence.peers[peer] = make(map[jujubegate.Route]Tally)
+		}
+		m.evidence.peers[peer][t.Route] = t
 	}
-	p.evidence.observe(o)
 }
 
 // Run reviews the moves and writes their states until the context ends.
@@ -226,7 +264,7 @@
 		if m.State != Running {
 			continue
 		}
-		if m.decided == Running {
+		if m.decided != RolledBack && m.confirmed == Running {
 			p.decide(m, now)
 			rolledBack = rolledBack || m.decided == RolledBack
 		}
@@ -241,16 +279,29 @@
 	return due
 }
 
-// decide rolls a move back if its version is bad, and completes it if no fault
-// has shown by completeAfter.
+// decide rolls a move back if its version is bad, also after it was found good as
+// long as the store has not confirmed that. It completes a move whose version has
+// shown by completeAfter that it is good.
 func (p *Promoter) decide(m *move, now time.Time) {
-	fault := p.evidence.fault(m.Service, m.Version)
+	expired := now.Sub(m.requestedAt) >= m.completeAfter()
+	if expired && m.decided == Running {
+		m.evidence.settleAll(now)
+	}
+	fault := m.evidence.review(now)
+	if fault == "" && expired && m.decided == Running {
+		fault = m.evidence.doubt()
+	}
+	if paused := m.evidence.othersFailing(now); paused != m.paused {
+		m.paused = paused
+		p.settings.Log.Info("promoter: canary paused or resumed", zap.String("Service", string(m.Service)),
+			zap.String("Version", string(m.Version)), zap.Bool("Paused", paused))
+	}
 	switch {
 	case fault != "":
 		m.decided, m.dueAt = RolledBack, now
 		p.settings.Log.Warn("promoter: version is bad", zap.String("Service", string(m.Service)),
 			zap.String("Version", string(m.Version)), zap.String("Why", fault), zap.Duration("After", now.Sub(m.requestedAt)))
-	case now.Sub(m.requestedAt) >= m.completeAfter():
+	case expired && m.decided == Running:
 		m.decided, m.dueAt = Completed, now
 		p.settings.Log.Info("promoter: version is good", zap.String("Service", string(m.Service)),
 			zap.String("Version", string(m.Version)), zap.Duration("After", now.Sub(m.requestedAt)))
--- a/promoter/promoter_test.go
+++ b/promoter/promoter_test.go
@@ -15,48 +15,91 @@
 	"jujubegate.example/jujubegate"
 )
 
+// phase is a part of a test in which two instances send requests to both versions of a
+// service.
+type phase struct {
+	lasts time.Duration
+	route jujubegate.Route
+	// candidate and others are the requests a second to the version of the move and to
+	// the others, of both instances together.
+	candidate, others int
+	// badCandidate and badOthers are the shares of their requests that are bad.
+	badCandidate, badOthers float64
+}
+
 func TestFault(t *testing.T) {
-	// Guards against missing a bad version, which may fail on one route only or
-	// whose failures may be spread over several instances, and against rejecting a
-	// good one.
-	const ms = time.Millisecond
-	tally := func(version, route string, answers, failures int64, took time.Duration) Tally {
-		return Tally{
-			Service: "s", Version: jujubegate.Version(version), Route: jujubegate.Route(route),
-			Answers: answers, Failures: failures, Took: took * time.Duration(answers),
-		}
+	// Guards against missing a bad version, which may fail on one route only, late, or
+	// while other versions are disturbed, or whose slow attempts nobody waits for, and
+	// against rejecting a good one.
+	const calm = 0.005
+	once := func(candidate int, bad float64) []phase {
+		return []phase{{time.Second, "a", 0, 100, 0, 0}, {time.Second, "a", candidate, 100, bad, 0}, {4 * time.Second, "a", 0, 100, 0, 0}}
 	}
 	cases := []struct {
-		name  string
-		seen  []Tally
-		fault bool
+		name   string
+		phases []phase
+		// fails makes bad requests fail, instead of being slow, and overtaken makes slow
+		// ones end without an answer.
+		fails, overtaken bool
+		fault            bool
 	}{
-		{"no answers", nil, false},
-		{"both good", []Tally{tally("v1", "a", 1000, 2, 10*ms), tally("v2", "a", 60, 0, 11*ms)}, false},
-		{"three failures", []Tally{tally("v1", "a", 1000, 0, 10*ms), tally("v2", "a", 30, 3, 10*ms)}, false},
-		{"many failures", []Tally{tally("v1", "a", 1000, 5, 10*ms), tally("v2", "a", 30, 9, 10*ms)}, true},
-		{"both fail", []Tally{tally("v1", "a", 1000, 300, 10*ms), tally("v2", "a", 30, 9, 10*ms)}, false},
-		{"slow", []Tally{tally("v1", "a", 1000, 0, 10*ms), tally("v2", "a", 20, 0, 40*ms)}, true},
-		{"slow, few answers", []Tally{tally("v1", "a", 1000, 0, 10*ms), tally("v2", "a", 5, 0, 40*ms)}, false},
-		{"bad on one route", []Tally{tally("v1", "a", 1000, 0, 10*ms), tally("v2", "a", 300, 0, 10*ms), tally("v1", "b", 100, 0, 10*ms), tally("v2", "b", 12, 6, 10*ms)}, true},
+		{"no answers", []phase{{10 * time.Second, "a", 0, 100, 0, calm}}, true, false, false},
+		{"both good", []phase{{60 * time.Second, "a", 5, 100, calm, calm}}, true, false, false},
+		{"four failures at once", once(4, 1), true, false, false},
+		{"many failures", []phase{{10 * time.Second, "a", 5, 100, 0.4, calm}}, true, false, true},
+		{"some failures", []phase{{60 * time.Second, "a", 5, 100, 0.2, calm}}, true, false, true},
+		{"both fail", []phase{{20 * time.Second, "a", 5, 100, 0.3, 0.3}}, true, false, false},
+		{"both fail for some time", []phase{{5 * time.Second, "a", 5, 100, 0, calm}, {5 * time.Second, "a", 5, 100, 0.6, 0.6}, {20 * time.Second, "a", 5, 100, 0, calm}}, true, false, false},
+		{"both fail for some time, many requests", []phase{{5 * time.Second, "a", 200, 4000, 0, calm}, {5 * time.Second, "a", 200, 4000, 0.6, 0.6}, {20 * time.Second, "a", 200, 4000, calm, calm}}, true, false, false},
+		{"others fail one in five", []phase{{40 * time.Second, "a", 5, 100, 0.52, 0.2}}, true, false, true},
+		{"others failed before", []phase{{5 * time.Second, "a", 5, 100, 0.6, 0.6}, {20 * time.Second, "a", 5, 100, 0.4, calm}}, true, false, true},
+		{"others failed alone before", []phase{{5 * time.Second, "a", 5, 100, 0, 0.9}, {20 * time.Second, "a", 5, 100, 0.4, calm}}, true, false, true},
+		{"fails late", []phase{{60 * time.Second, "a", 5, 100, 0, calm}, {20 * time.Second, "a", 5, 100, 0.4, calm}}, true, false, true},
+		{"slow", []phase{{5 * time.Second, "a", 5, 100, 1, 0.04}}, false, false, true},
+		{"some are slow", []phase{{20 * time.Second, "a", 5, 100, 0.4, 0.04}}, false, false, true},
+		{"slow and overtaken", []phase{{5 * time.Second, "a", 5, 100, 1, 0.04}}, false, true, true},
+		{"slow, few answers", once(5, 1), false, false, false},
+		{"both slow", []phase{{10 * time.Second, "a", 5, 100, 0.5, 0.5}}, false, false, false},
+		{"one stall of a target", []phase{{5 * time.Second, "a", 50, 1000, 0.04, 0.04}, {200 * time.Millisecond, "a", 50, 1000, 1, 0.04}, {10 * time.Second, "a", 50, 1000, 0.04, 0.04}}, false, false, false},
+		{"bad on one route", []phase{{20 * time.Second, "a", 15, 300, 0, calm}, {10 * time.Second, "b", 4, 100, 0.5, calm}}, true, false, true},
 	}
 	Convey("The evidence of two instances", t, func() {
 		for _, c := range cases {
 			Convey(c.name, func() {
-				e := newEvidence()
-				for _, s := range c.seen {
-					half := s
-					half.Answers, half.Failures, half.Took = s.Answers/2, s.Failures/2, s.Took/2
-					rest := s
-					rest.Answers, rest.Failures, rest.Took = s.Answers-half.Answers, s.Failures-half.Failures, s.Took-half.Took
-					k := tallyKey{s.Service, s.Version, s.Route}
-					e.own[k] = half
-					if e.peers["p"] == nil {
-						e.peers["p"] = map[tallyKey]Tally{}
+				for seed := range uint64(20) {
+					random := rand.New(rand.NewPCG(seed, 2))
+					now := time.Unix(1_800_000_000, 0)
+					here, there := newEvidence("s", "v2"), newEvidence("s", "v2")
+					fault := ""
+					send := func(p *phase, version jujubegate.Version, badShare float64) {
+						o := Observation{Service: "s", Version: version, Route: p.route, Ended: true, Typical: 10 * time.Millisecond, Took: 10 * time.Millisecond}
+						if random.Float64() < badShare {
+							if c.fails {
+								o.Failed = true
+							} else {
+								o.Took, o.Ended = 50*time.Millisecond, !c.overtaken
+							}
+						}
+						[]*evidence{here, there}[random.IntN(2)].observe(now, o)
+					}
+					for i := range c.phases {
+						p := &c.phases[i]
+						due := [2]float64{}
+						for end := now.Add(p.lasts); now.Before(end) && fault == ""; now = now.Add(100 * time.Millisecond) {
+							for due[0] += float64(p.candidate) / 10; due[0] >= 1; due[0]-- {
+								send(p, "v2", p.badCandidate)
+							}
+							for due[1] += float64(p.others) / 10; due[1] >= 1; due[1]-- {
+								send(p, "v1", p.badOthers)
+							}
+							for _, t := range there.ownTallies(now) {
+								here.peers["there"] = map[jujubegate.Route]Tally{t.Route: t}
+							}
+							fault = here.review(now)
+						}
 					}
-					e.peers["p"][k] = rest
+					So(fault != "", ShouldEqual, c.fault)
 				}
-				So(e.fault("s", "v2") != "", ShouldEqual, c.fault)
 			})
 		}
 	})
