Pass on what other instances have counted of a new version

On fleets of more than 17 instances a bad version kept getting requests, as hardly any instance knew of its failures: each told its partners of the moment only its own counts, in its data centre first, and what an instance had counted was gone with it or replaced by the counts of its next start.

Tallies now carry the instance that counted and its start, and are passed on like changes of the membership: each newer one for 1.5 tells per doubling of the fleet, at most eight in a message, all of them to a new instance. Small fleets, in which each pair exchanges in every round, are told no more than before in steady state.

--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -119,19 +119,21 @@
 	c.reader = replicator.NewReader(clock, func() time.Duration {
 		return c.gossiper.ReadAfter(adapter.Kinds.Configuration, c.reader.Complete())
 	}, c.config, c.targets, c.outOfService, c.moves)
+	incarnation := time.Now().UnixMilli()
 	c.promoter = promoter.New(promoter.Settings{
+		Instance: settings.Instance, Incarnation: incarnation, FleetSize: func() int { return c.gossiper.Size() },
 		Clock: clock, Log: log, Write: c.writeState,
 		Rank:       func() int { return c.gossiper.Rank(adapter.Kinds.Moves) },
 		OnRollback: func() { c.gossiper.TriggerRound() },
 	})
 	c.gossiper = gossiper.New(gossiper.Settings{
 		Self: gossiper.Peer{
-			Instance: settings.Instance, Incarnation: time.Now().UnixMilli(), DataCentre: settings.DataCentre,
+			Instance: settings.Instance, Incarnation: incarnation, DataCentre: settings.DataCentre,
 			PeerAddress: settings.Listen.Peers, CallerAddress: settings.Listen.Callers, Capacity: settings.capacity(),
 		},
 		Fleet: settings.fleet(), Seeds: settings.Seeds, Clock: clock, Log: log,
 		Replicators:  []*replicator.Replicator{c.config, c.targets, c.outOfService, c.moves},
-		LocalTallies: c.localTallies, TalliesReceived: c.updatePeerTallies,
+		LocalTallies: c.promoter.Tallies, TalliesReceived: c.promoter.MergeTallies,
 		Serving: c.serving, Changed: c.peersChanged, Client: &http.Client{Transport: c.transport},
 	})
 	c.sender = sender.New(sender.Settings{
--- a/conductor/moves.go
+++ b/conductor/moves.go
@@ -2,15 +2,12 @@
 
 import (
 	"context"
-	"math"
 
 	"go.uber.org/zap"
 
-	"jujubegate.example/jujubegate"
 	"jujubegate.example/jujubegate/promoter"
 	"jujubegate.example/jujubegate/replicator"
 	"jujubegate.example/jujubegate/sender"
-	"jujubegate.example/jujubegate/wire"
 )
 
 // applyMoves applies the requested moves of services to versions.
@@ -43,34 +40,3 @@
 		Ended: o.Result == sender.Answered || o.Result == sender.Broken, Failed: o.Failed(), Took: o.Took, Typical: o.Typical, Cold: o.Cold,
 	})
 }
-
-// localTallies returns this instance's tallies of the services being moved.
-func (c *Conductor) localTallies() []*wire.Tally {
-	tallies := c.promoter.Tallies()
-	encoded := make([]*wire.Tally, 0, len(tallies))
-	for _, t := range tallies {
-		encoded = append(encoded, &wire.Tally{
-			Service: string(t.Service), Version: string(t.Version), Route: string(t.Route),
-			Answers: t.Answers, Bad: t.Failures, Slow: t.Slow, FailureEvidence: t.FailureEvidence, SlowEvidence: t.SlowEvidence,
-		})
-	}
-	return encoded
-}
-
-func isFinite(x float64) bool { return !math.IsNaN(x) && !math.IsInf(x, 0) }
-
-// updatePeerTallies replaces the tallies of a peer.
-func (c *Conductor) updatePeerTallies(peer string, received []*wire.Tally) {
-	tallies := make([]promoter.Tally, 0, len(received))
-	for _, t := range received {
-		if !isFinite(t.FailureEvidence) || !isFinite(t.SlowEvidence) {
-			c.log.Warn("conductor: tally of a peer cannot be used", zap.String("Peer", peer), zap.String("Service", t.Service))
-			continue
-		}
-		tallies = append(tallies, promoter.Tally{
-			Service: jujubegate.Service(t.Service), Version: jujubegate.Version(t.Version), Route: jujubegate.Route(t.Route),
-			Answers: t.Answers, Failures: t.Bad, Slow: t.Slow, FailureEvidence: t.FailureEvidence, SlowEvidence: t.SlowEvidence,
-		})
-	}
-	c.promoter.SetPeerTallies(peer, tallies)
-}
--- a/gossiper/fleet_test.go
+++ b/gossiper/fleet_test.go
@@ -16,6 +16,7 @@
 	"go.uber.org/zap"
 
 	"jujubegate.example/jujubegate"
+	"jujubegate.example/jujubegate/promoter"
 	"jujubegate.example/jujubegate/replicator"
 )
 
@@ -29,6 +30,8 @@
 // memoryFleet is a fleet of gossipers that exchange messages in memory.
 type memoryFleet struct {
 	instances []*Gossiper
+	// promoters are those of the instances in the same order.
+	promoters []*promoter.Promoter
 	cancels   []context.CancelFunc
 	running   sync.WaitGroup
 
@@ -57,7 +60,15 @@
 	clock := clockwork.NewRealClock()
 	p.Incarnation, p.CallerAddress, p.Capacity = 1, p.PeerAddress, 200
 	r := replicator.New(replicator.Settings{Kind: "k", Clock: clock, Log: zap.NewNop(), Changed: func(*replicator.State) {}})
-	g := New(Settings{
+	var g *Gossiper
+	moves := promoter.New(promoter.Settings{
+		Clock: clock, Log: zap.NewNop(), Instance: p.Instance, Incarnation: p.Incarnation, FleetSize: func() int { return g.Size() },
+		Rank:       func() int { return g.Rank("k") },
+		Write:      func(context.Context, promoter.Move, promoter.State) error { return errors.New("the store is down") },
+		OnRollback: func() { g.TriggerRound() },
+	})
+	g = New(Settings{
+		LocalTallies: moves.Tallies, TalliesReceived: moves.MergeTallies,
 		Self: p, Fleet: "f", Seeds: seeds, Clock: clock, Log: zap.NewNop(), Replicators: []*replicator.Replicator{r},
 		Serving: func() bool { return true }, Changed: func([]Peer) {}, Client: &memoryClient{f, p},
 	})
@@ -65,10 +76,12 @@
 	f.mu.Lock()
 	f.handlers[p.PeerAddress] = handler
 	f.instances = append(f.instances, g)
+	f.promoters = append(f.promoters, moves)
 	f.mu.Unlock()
 	ctx, cancel := context.WithCancel(context.Background())
 	f.cancels = append(f.cancels, cancel)
 	f.running.Go(func() { g.Run(ctx) })
+	f.running.Go(func() { moves.Run(ctx) })
 }
 
 func (f *memoryFleet) stop() {
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -61,11 +61,11 @@
 	Serving func() bool
 	// Changed is called with the live peers after each change.
 	Changed func([]Peer)
-	// LocalTallies returns this instance's counts of answers for each version of
-	// the services that are being moved. TalliesReceived is called with the counts
-	// of a peer. Both may be nil.
-	LocalTallies    func() []*wire.Tally
-	TalliesReceived func(peer string, tallies []*wire.Tally)
+	// LocalTallies returns what this instance knows of the versions to which services
+	// are being moved: what it has counted, and what others have, all of it if whole is
+	// set. TalliesReceived is called with what a peer sent. Both may be nil.
+	LocalTallies    func(whole bool) []*wire.Tally
+	TalliesReceived func(tallies []*wire.Tally)
 	// Client sends the requests to peers.
 	Client connect.HTTPClient
 }
--- a/promoter/evidence.go
+++ b/promoter/evidence.go
@@ -102,9 +102,9 @@
 type evidence struct {
 	service jujubegate.Service
 	version jujubegate.Version
-	// own holds what this instance has seen, and peers the tallies of its peers.
-	own   map[jujubegate.Route]*series
-	peers map[string]map[jujubegate.Route]Tally
+	// own holds what this instance has seen, and reports what others have.
+	own     map[jujubegate.Route]*series
+	reports map[reportKey]*report
 	// totals are the sums over all instances at the last review.
 	totals     map[jujubegate.Route]Tally
 	suspicions map[jujubegate.Route]suspicion
@@ -116,7 +116,7 @@
 func newEvidence(service jujubegate.Service, version jujubegate.Version) *evidence {
 	return &evidence{
 		service: service, version: version,
-		own: make(map[jujubegate.Route]*series), peers: make(map[string]map[jujubegate.Route]Tally),
+		own: make(map[jujubegate.Route]*series), reports: make(map[reportKey]*report),
 		totals: make(map[jujubegate.Route]Tally), suspicions: make(map[jujubegate.Route]suspicion),
 	}
 }
@@ -159,10 +159,8 @@
 	for _, t := range e.ownTallies(now) {
 		add(t)
 	}
-	for _, tallies := range e.peers {
-		for _, t := range tallies {
-			add(t)
-		}
+	for _, r := range e.reports {
+		add(r.tally)
 	}
 	return sums
 }
@@ -271,7 +269,7 @@
 		for route, sum := range m.evidence.sums(now) {
 			fields := []zap.Field{
 				zap.String("Service", string(m.Service)), zap.String("Version", string(m.Version)), zap.String("Route", string(route)),
-				zap.Int("Peers", len(m.evidence.peers)), zap.Int64("Answers", sum.Answers), zap.Int64("Failures", sum.Failures), zap.Int64("Slow", sum.Slow),
+				zap.Int("Reports", len(m.evidence.reports)), zap.Int64("Answers", sum.Answers), zap.Int64("Failures", sum.Failures), zap.Int64("Slow", sum.Slow),
 				zap.Float64("FailureEvidence", m.evidence.suspicions[route].failing), zap.Float64("SlowEvidence", m.evidence.suspicions[route].slow),
 				zap.Bool("Paused", m.paused),
 			}
--- a/promoter/promoter.go
+++ b/promoter/promoter.go
@@ -68,6 +68,11 @@
 type Settings struct {
 	Clock jujubegate.Clock
 	Log   *zap.Logger
+	// Instance and Incarnation are those of this instance, and FleetSize returns the
+	// number of instances.
+	Instance    jujubegate.Instance
+	Incarnation int64
+	FleetSize   func() int
 	// Rank returns the rank of this instance among those that write states; 0
 	// writes first.
 	Rank func() int
@@ -207,37 +212,6 @@
 // slow reports whether the attempt took much longer than usual.
 func (o *Observation) slow() bool { return float64(o.Took) > slowFactor*float64(o.Typical) }
 
-// Tallies returns the tallies of this instance, which are sent to its peers.
-func (p *Promoter) Tallies() []Tally {
-	now := p.settings.Clock.Now()
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	var tallies []Tally
-	for _, m := range p.moves {
-		if m.State == Running {
-			tallies = append(tallies, m.evidence.ownTallies(now)...)
-		}
-	}
-	return tallies
-}
-
-// SetPeerTallies replaces the tallies of a peer. Those of services without a move are
-// ignored.
-func (p *Promoter) SetPeerTallies(peer string, tallies []Tally) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for _, t := range tallies {
-		m := p.moves[t.Service]
-		if m == nil || m.Version != t.Version {
-			continue
-		}
-		if m.evidence.peers[peer] == nil {
-			m.evidence.peers[peer] = make(map[jujubegate.Route]Tally)
-		}
-		m.evidence.peers[peer][t.Route] = t
-	}
-}
-
 // Run reviews the moves and writes their states until the context ends.
 func (p *Promoter) Run(ctx context.Context) {
 	for ctx.Err() == nil {
--- a/promoter/promoter_test.go
+++ b/promoter/promoter_test.go
@@ -93,7 +93,7 @@
 								send(p, "v1", p.badOthers)
 							}
 							for _, t := range there.ownTallies(now) {
-								here.peers["there"] = map[jujubegate.Route]Tally{t.Route: t}
+								here.merge(reportKey{reporter{"there", 1}, t.Route}, t, 1)
 							}
 							fault = here.review(now)
 						}
