Tell instances that a version was found bad, beside the store

A version that one instance had found bad was known to the others by what they had counted themselves, or through the store. While that is down, an instance that starts later gets the tallies, in which the good answers from before a late fault outweigh the failures, and sends to the version again.

Each exchange now carries the versions that were found bad as long as the store does not say so; the receiver takes the verdict over at once and passes it on in a round of its own.

--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -134,6 +134,7 @@
 		Fleet: settings.fleet(), Seeds: settings.Seeds, Clock: clock, Log: log,
 		Replicators:  []*replicator.Replicator{c.config, c.targets, c.outOfService, c.moves},
 		LocalTallies: c.promoter.Tallies, TalliesReceived: c.promoter.MergeTallies,
+		LocalVerdicts: c.promoter.Verdicts, VerdictsReceived: c.promoter.MergeVerdicts,
 		Serving: c.serving, Changed: c.peersChanged, Client: &http.Client{Transport: c.transport},
 	})
 	c.sender = sender.New(sender.Settings{
--- a/gossiper/exchange.go
+++ b/gossiper/exchange.go
@@ -35,7 +35,7 @@
 	self := g.self()
 	response, err := g.client(address).Exchange(ctx, connect.NewRequest(&wire.ExchangeRequest{
 		Fleet: g.settings.Fleet, Receiver: address, Sender: self, Known: append(g.news(whole), g.suspicionOf(address)...), Holdings: g.holdings(),
-		Whole: whole || g.Size() == 1, Tallies: g.tallies(whole || g.Size() == 1), Digest: g.digest(self),
+		Whole: whole || g.Size() == 1, Tallies: g.tallies(whole || g.Size() == 1), Digest: g.digest(self), Verdicts: g.verdicts(),
 	}))
 	if err != nil {
 		g.settings.Log.Debug("gossiper: exchange failed", zap.String("Address", address), zap.Error(err))
@@ -52,7 +52,7 @@
 	}
 	g.merge(m.Sender, m.Known)
 	g.reconcile(address, m.Holdings, sentAt)
-	g.deliverTallies(m.Tallies)
+	g.deliverMoveNews(m.Verdicts, m.Tallies)
 	if !whole && len(m.Known) == 0 && m.Digest != g.digest(g.self()) && g.mayExchangeWhole() {
 		go g.exchange(context.WithoutCancel(ctx), address, true)
 	}
@@ -98,10 +98,10 @@
 		// In a larger fleet this instance asks as many peers itself in each round.
 		g.askBack(m.Sender.PeerAddress)
 	}
-	g.deliverTallies(m.Tallies)
+	g.deliverMoveNews(m.Verdicts, m.Tallies)
 	self := g.self()
 	return connect.NewResponse(&wire.ExchangeResponse{
-		Sender: self, Known: append(g.news(m.Whole || started), suspicion...), Holdings: g.holdings(), Tallies: g.tallies(m.Whole || started), Digest: g.digest(self),
+		Sender: self, Known: append(g.news(m.Whole || started), suspicion...), Holdings: g.holdings(), Tallies: g.tallies(m.Whole || started), Digest: g.digest(self), Verdicts: g.verdicts(),
 	}), nil
 }
 
@@ -125,7 +125,18 @@
 	return g.settings.LocalTallies(whole)
 }
 
-func (g *Gossiper) deliverTallies(tallies []*wire.Tally) {
+func (g *Gossiper) verdicts() []*wire.Verdict {
+	if g.settings.LocalVerdicts == nil {
+		return nil
+	}
+	return g.settings.LocalVerdicts()
+}
+
+// deliverMoveNews passes on what a peer sent about versions.
+func (g *Gossiper) deliverMoveNews(verdicts []*wire.Verdict, tallies []*wire.Tally) {
+	if g.settings.VerdictsReceived != nil && len(verdicts) > 0 {
+		g.settings.VerdictsReceived(verdicts)
+	}
 	if g.settings.TalliesReceived != nil && len(tallies) > 0 {
 		g.settings.TalliesReceived(tallies)
 	}
--- a/gossiper/fleet_test.go
+++ b/gossiper/fleet_test.go
@@ -69,6 +69,7 @@
 	})
 	g = New(Settings{
 		LocalTallies: moves.Tallies, TalliesReceived: moves.MergeTallies,
+		LocalVerdicts: moves.Verdicts, VerdictsReceived: moves.MergeVerdicts,
 		Self: p, Fleet: "f", Seeds: seeds, Clock: clock, Log: zap.NewNop(), Replicators: []*replicator.Replicator{r},
 		Serving: func() bool { return true }, Changed: func([]Peer) {}, Client: &memoryClient{f, p},
 	})
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -66,6 +66,10 @@
 	// set. TalliesReceived is called with what a peer sent. Both may be nil.
 	LocalTallies    func(whole bool) []*wire.Tally
 	TalliesReceived func(tallies []*wire.Tally)
+	// LocalVerdicts returns the versions that this instance knows to be bad, and
+	// VerdictsReceived is called with those that a peer knows. Both may be nil.
+	LocalVerdicts    func() []*wire.Verdict
+	VerdictsReceived func(verdicts []*wire.Verdict)
 	// Client sends the requests to peers.
 	Client connect.HTTPClient
 }
--- a/gossiper/move_test.go
+++ b/gossiper/move_test.go
@@ -7,6 +7,7 @@
 	"testing/synctest"
 	"time"
 
+	"jujubegate.example/jujubegate"
 	"jujubegate.example/jujubegate/promoter"
 )
 
@@ -81,3 +82,38 @@
 		})
 	}
 }
+
+func TestStartedInstanceSendsToBadVersion(t *testing.T) {
+	// Guards against an instance that starts after a version was found bad and sends to
+	// it, while the store is down. The tallies that it gets hold the many good answers
+	// from before the fault.
+	const dataCentres, each = 4, 5
+	synctest.Test(t, func(t *testing.T) {
+		f := newMemoryFleet(dataCentres, each)
+		defer f.stop()
+		f.waitFor(t, f.instances, dataCentres*each-1, 10*time.Second)
+		move := []promoter.Move{{Name: "s", Service: "s", Version: "v2", Duration: time.Hour, Revision: 3}}
+		for _, p := range f.promoters {
+			p.Update(move, time.Now())
+		}
+		for n := range 1240 {
+			for _, version := range []jujubegate.Version{"v1", "v2"} {
+				f.promoters[n%len(f.promoters)].Observe(promoter.Observation{
+					Service: "s", Version: version, Route: "r", Ended: true, Failed: version == "v2" && n >= 1200,
+				})
+			}
+			time.Sleep(100 * time.Millisecond)
+		}
+		time.Sleep(5 * time.Second)
+		p := f.instances[0].settings.Self
+		p.Instance, p.PeerAddress = "started", "started:1"
+		f.start(p, []string{f.instances[0].settings.Self.PeerAddress})
+		f.promoters[len(f.promoters)-1].Update(move, time.Now())
+		time.Sleep(5 * time.Second)
+		for i, p := range f.promoters {
+			if share := p.Plan("s").Share; share > 0 {
+				t.Errorf("%s sends %v of the requests to the version", f.instances[i].settings.Self.Instance, share)
+			}
+		}
+	})
+}
--- a/promoter/exchange.go
+++ b/promoter/exchange.go
@@ -125,6 +125,39 @@
 	}
 }
 
+// Verdicts returns the versions that were found bad as long as the store does not say
+// so. An instance that starts later does not see their fault in the tallies alone.
+func (p *Promoter) Verdicts() []*wire.Verdict {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var verdicts []*wire.Verdict
+	for _, m := range p.moves {
+		if m.State == Running && m.decided == RolledBack {
+			verdicts = append(verdicts, &wire.Verdict{Service: string(m.Service), Version: string(m.Version), Reason: m.reason})
+		}
+	}
+	return verdicts
+}
+
+// MergeVerdicts takes over the verdicts of a peer.
+func (p *Promoter) MergeVerdicts(received []*wire.Verdict) {
+	now := p.settings.Clock.Now()
+	p.mu.Lock()
+	rejected := false
+	for _, v := range received {
+		m := p.moves[jujubegate.Service(v.GetService())]
+		if m == nil || string(m.Version) != v.GetVersion() || m.State != Running || m.decided == RolledBack || m.confirmed != Running {
+			continue
+		}
+		p.reject(m, v.GetReason(), now)
+		rejected = true
+	}
+	p.mu.Unlock()
+	if rejected && p.settings.OnRollback != nil {
+		p.settings.OnRollback()
+	}
+}
+
 func (t *Tally) toWire(from reporter) *wire.Tally {
 	return &wire.Tally{
 		Service: string(t.Service), Version: string(t.Version), Route: string(t.Route), Reporter: from.instance, Incarnation: from.incarnation,
--- a/promoter/promoter.go
+++ b/promoter/promoter.go
@@ -110,6 +110,8 @@
 	notBefore time.Time
 	backoff   time.Duration
 	evidence  *evidence
+	// reason says why the version was found bad, if it was.
+	reason string
 	// paused is set while the version gets no requests, as its answers could not be
 	// judged.
 	paused bool
@@ -272,9 +274,7 @@
 	}
 	switch {
 	case fault != "":
-		m.decided, m.dueAt = RolledBack, now
-		p.settings.Log.Warn("promoter: version is bad", zap.String("Service", string(m.Service)),
-			zap.String("Version", string(m.Version)), zap.String("Why", fault), zap.Duration("After", now.Sub(m.requestedAt)))
+		p.reject(m, fault, now)
 	case expired && m.decided == Running:
 		m.decided, m.dueAt = Completed, now
 		p.settings.Log.Info("promoter: version is good", zap.String("Service", string(m.Service)),
@@ -282,6 +282,13 @@
 	}
 }
 
+// reject decides that a version is bad.
+func (p *Promoter) reject(m *move, reason string, now time.Time) {
+	m.decided, m.dueAt, m.reason = RolledBack, now, reason
+	p.settings.Log.Warn("promoter: version is bad", zap.String("Service", string(m.Service)),
+		zap.String("Version", string(m.Version)), zap.String("Why", reason), zap.Duration("After", now.Sub(m.requestedAt)))
+}
+
 // completeAfter returns the time since the request of the move after which a
 // version without a fault is found good.
 func (m *move) completeAfter() time.Duration {
