Keep a new version to its share when the other targets are gone

And what the new version failed was repeated at the new version, as a call kept to the side that it had been assigned to.

The new version now gets its share and no more, whatever is left of the others; the rest is refused or left out of a gathered answer, as for any service without targets. Repeats of calls that were assigned to the new version go to the others, which serves callers better, and a request that waits for a connection to a version that was rejected meanwhile goes there too.

--- /dev/null
+++ b/sender/candidates.go
@@ -0,0 +1,64 @@
+package sender
+
+import (
+	"jujubegate.example/jujubegate"
+	"jujubegate.example/jujubegate/promoter"
+	"jujubegate.example/jujubegate/tracker"
+)
+
+// candidates are the targets that one call may use.
+type candidates struct {
+	// first are those for the first attempt, and repeats those for hedges and retries.
+	first, repeats []*tracker.Replica
+	// canary is the version of the targets in first if this is the new version of a move
+	// under way; empty if not.
+	canary jujubegate.Version
+}
+
+// candidates returns the targets that one call to a service may use. While the service
+// is moved to a version, the call is assigned at random either to that version or to
+// the others. The new version gets no more than its share, also if there are no other
+// targets, and no repeats: what it fails is repeated at the others.
+func (s *Sender) candidates(service jujubegate.Service) candidates {
+	replicas := s.settings.Tracker.Replicas(service)
+	if s.settings.Plan == nil {
+		return candidates{first: replicas, repeats: replicas}
+	}
+	plan := s.settings.Plan(service)
+	if plan.Version == "" {
+		return candidates{first: replicas, repeats: replicas}
+	}
+	s.mu.Lock()
+	draw := s.random.Float64()
+	s.mu.Unlock()
+	return divide(replicas, plan, draw)
+}
+
+// divide returns the targets of a call during a move. The draw is uniform from 0 to 1.
+func divide(replicas []*tracker.Replica, plan promoter.Plan, draw float64) candidates {
+	var planned, others []*tracker.Replica
+	for _, replica := range replicas {
+		if replica.Entry().Version == plan.Version {
+			planned = append(planned, replica)
+		} else {
+			others = append(others, replica)
+		}
+	}
+	switch {
+	case draw >= plan.Share || len(planned) == 0:
+		return candidates{first: others, repeats: others}
+	case plan.Share >= 1:
+		return candidates{first: planned, repeats: planned}
+	}
+	return candidates{first: planned, repeats: others, canary: plan.Version}
+}
+
+// isRejected reports whether the version to which the call was assigned has been found
+// bad since.
+func (r *callState) isRejected(version jujubegate.Version) bool {
+	if r.candidates.canary == "" || version != r.candidates.canary {
+		return false
+	}
+	plan := r.sender.settings.Plan(r.call.Service)
+	return plan.Version == version && plan.Share == 0
+}
--- /dev/null
+++ b/sender/candidates_test.go
@@ -0,0 +1,133 @@
+package sender
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"jujubegate.example/jujubegate"
+	"jujubegate.example/jujubegate/connector"
+	"jujubegate.example/jujubegate/promoter"
+	"jujubegate.example/jujubegate/router"
+	"jujubegate.example/jujubegate/tracker"
+)
+
+// withVersions lists the targets of a fixture again with versions, in their order.
+func (f *fixture) withVersions(versions ...jujubegate.Version) {
+	entries := make([]tracker.Entry, len(versions))
+	for _, r := range f.sender.settings.Tracker.Replicas(service) {
+		e := *r.Entry()
+		var i int
+		if _, err := fmt.Sscanf(e.ID, "t-%d", &i); err != nil {
+			panic(err)
+		}
+		e.Version = versions[i]
+		entries[i] = e
+	}
+	f.sender.settings.Tracker.Update(entries, tracker.Recency{})
+}
+
+func (f *fixture) call() CallResult {
+	route := &router.Route{Name: "r", Idempotent: true, Attempts: 2}
+	request := &connector.Request{ID: "id", Method: "GET", URI: "/", Host: "h", Deadline: time.Now().Add(time.Second)}
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	return f.sender.Send(ctx, Call{Request: request, Route: route, Service: service})
+}
+
+func TestCandidatesDuringMove(t *testing.T) {
+	// Guards against a new version that gets more than its share because the other
+	// targets are gone, and against one that was rolled back and still gets requests.
+	f := newFixture(t, 50, ok, ok)
+	f.withVersions("v1", "v2")
+	replicas := f.sender.settings.Tracker.Replicas(service)
+	count := func(list []*tracker.Replica, version jujubegate.Version) int {
+		n := 0
+		for _, r := range list {
+			if r.Entry().Version == version {
+				n++
+			}
+		}
+		return n
+	}
+	cases := []struct {
+		name             string
+		versions         []jujubegate.Version
+		share, draw      float64
+		firstV1, firstV2 int
+		againV1, againV2 int
+	}{
+		{"old version", []jujubegate.Version{"v1", "v2"}, 0.05, 0.5, 1, 0, 1, 0},
+		{"new version, repeats at the old one", []jujubegate.Version{"v1", "v2"}, 0.05, 0.01, 0, 1, 1, 0},
+		{"old version is gone", []jujubegate.Version{"v2"}, 0.05, 0.5, 0, 0, 0, 0},
+		{"old version is gone, share of the new one", []jujubegate.Version{"v2"}, 0.05, 0.01, 0, 1, 0, 0},
+		{"new version is missing", []jujubegate.Version{"v1"}, 0.05, 0.01, 1, 0, 1, 0},
+		{"rolled back", []jujubegate.Version{"v1", "v2"}, 0, 0, 1, 0, 1, 0},
+		{"rolled back, old version is gone", []jujubegate.Version{"v2"}, 0, 0, 0, 0, 0, 0},
+		{"completed", []jujubegate.Version{"v1", "v2"}, 1, 0.99, 0, 1, 0, 1},
+	}
+	Convey("The targets of a call", t, func() {
+		for _, c := range cases {
+			Convey(c.name, func() {
+				var listed []*tracker.Replica
+				for _, version := range c.versions {
+					for _, r := range replicas {
+						if r.Entry().Version == version {
+							listed = append(listed, r)
+						}
+					}
+				}
+				got := divide(listed, promoter.Plan{Version: "v2", Share: c.share}, c.draw)
+				So([]int{count(got.first, "v1"), count(got.first, "v2")}, ShouldResemble, []int{c.firstV1, c.firstV2})
+				So([]int{count(got.repeats, "v1"), count(got.repeats, "v2")}, ShouldResemble, []int{c.againV1, c.againV2})
+			})
+		}
+	})
+}
+
+func TestWaitingRequestReachesRejectedVersion(t *testing.T) {
+	// Guards against a request that was assigned to a version, waits for a connection
+	// and is sent after the version has been found bad.
+	f := newFixture(t, 50, ok, ok)
+	f.withVersions("v1", "v2")
+	var asked atomic.Int64
+	f.sender.settings.Plan = func(jujubegate.Service) promoter.Plan {
+		if asked.Add(1) == 1 {
+			return promoter.Plan{Version: "v2", Share: 0.999}
+		}
+		return promoter.Plan{Version: "v2", Share: 0}
+	}
+	result := f.call()
+	if !result.OK || f.runs[0].Load() != 1 || f.runs[1].Load() != 0 {
+		t.Errorf("answered %v, %d requests at the old version and %d at the rejected one, want 1 and 0", result.OK, f.runs[0].Load(), f.runs[1].Load())
+	}
+}
+
+func TestOvertakenAttemptIsNotObserved(t *testing.T) {
+	// Guards against a slow version whose slow attempts are overtaken by hedges at the
+	// other version and leave no evidence.
+	f := newFixture(t, 50, ok, after(200*ms, ok))
+	f.withVersions("v1", "v2")
+	f.sender.settings.Plan = func(jujubegate.Service) promoter.Plan { return promoter.Plan{Version: "v2", Share: 0.999} }
+	var mu sync.Mutex
+	seen := make(map[jujubegate.Version]Observation)
+	f.sender.settings.Observe = func(o Observation) {
+		mu.Lock()
+		defer mu.Unlock()
+		seen[o.Version] = o
+	}
+	if result := f.call(); !result.OK || result.Target != "t-0" {
+		t.Errorf("answered %v by %s, want the hedge at the old version", result.OK, result.Target)
+	}
+	time.Sleep(50 * ms)
+	mu.Lock()
+	defer mu.Unlock()
+	if o := seen["v2"]; o.Result != Overtaken || o.Took < 25*ms {
+		t.Errorf("observed %q after %v at the new version, want an overtaken attempt with its time", o.Result, o.Took)
+	}
+}
--- a/sender/run.go
+++ b/sender/run.go
@@ -32,7 +32,7 @@
 	sent   int
 	unsent int
 	// candidates are the targets that this call may use.
-	candidates []*tracker.Replica
+	candidates candidates
 	// mayHaveRun is set once a target may have run the request without a usable
 	// answer.
 	mayHaveRun bool
@@ -53,7 +53,13 @@
 
 func (r *callState) loop() CallResult {
 	defer r.abandonAttempts()
-	if reason := r.startAttempt(First); reason != "" {
+	reason := r.startAttempt(First)
+	if reason != "" && r.candidates.canary != "" {
+		// The new version takes no request now, for instance because it is cold.
+		r.candidates = candidates{first: r.candidates.repeats, repeats: r.candidates.repeats}
+		reason = r.startAttempt(First)
+	}
+	if reason != "" {
 		return r.noAnswer(reason)
 	}
 	hedge := r.sender.settings.NewTimer(r.hedgeDelay())
@@ -158,7 +164,10 @@
 // targets that are at the limit of their start or at the one that they name. Targets that are unresponsive or have no
 // free connection are a last resort, and a hedge is never sent to them.
 func (r *callState) choose(now time.Time, kind AttemptKind) (*tracker.Replica, jujubegate.Reason) {
-	replicas := r.candidates
+	replicas := r.candidates.first
+	if kind != First {
+		replicas = r.candidates.repeats
+	}
 	options := make([]balancer.Option, 0, stackOptions)
 	var skip, lastResort, exhausted uint64
 	silenceLimit := r.silenceLimit()
@@ -215,7 +224,7 @@
 // loop.
 func (r *callState) sendAttempt(ctx context.Context, index int, kind AttemptKind, replica *tracker.Replica, sentAt time.Time) {
 	answer, err := replica.Pool.SendIf(ctx, r.call.Request, func() bool {
-		return replica.Permit(r.sender.settings.Clock.Now(), kind != First)
+		return !r.isRejected(replica.Entry().Version) && replica.Permit(r.sender.settings.Clock.Now(), kind != First)
 	})
 	now := r.sender.settings.Clock.Now()
 	took := now.Sub(sentAt)
--- a/sender/sender.go
+++ b/sender/sender.go
@@ -174,34 +174,6 @@
 	return r.loop()
 }
 
-// candidates returns the targets of a service that one call may use. With a plan
-// it randomly assigns the call either to the version of the plan or to all other
-// versions. If the assigned side has no targets the call may use all of them,
-// except that a version with a share of 0, which was rolled back, gets no calls.
-func (s *Sender) candidates(service jujubegate.Service) []*tracker.Replica {
-	replicas := s.settings.Tracker.Replicas(service)
-	if s.settings.Plan == nil {
-		return replicas
-	}
-	plan := s.settings.Plan(service)
-	if plan.Version == "" {
-		return replicas
-	}
-	s.mu.Lock()
-	usePlanned := s.random.Float64() < plan.Share
-	s.mu.Unlock()
-	var matching []*tracker.Replica
-	for _, replica := range replicas {
-		if (replica.Entry().Version == plan.Version) == usePlanned {
-			matching = append(matching, replica)
-		}
-	}
-	if len(matching) == 0 && (usePlanned || plan.Share > 0) {
-		return replicas
-	}
-	return matching
-}
-
 // Deadline returns the time by which a call on the route must end. The call may
 // take the time left to the caller or the timeout of the route, whichever is
 // shorter.
