Hold targets of a new version until the moves are known

The list of moves is read at most once a second, apart from the list of targets. While the store is slow or away for an instance that time is longer.

A target whose version is new to its service now gets nothing until the list of moves has been confirmed since it was listed: an operator orders a move before its targets start. An instance serves only once it knows the moves.

--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -108,8 +108,9 @@
 			}, bound)
 		},
 		ColdFactor: settings.Bounds.ColdFactor, ColdAllowance: settings.Bounds.ColdAllowance,
-		ColdPart:   c.coldPart,
-		LimitShare: c.limitShare,
+		ColdPart:       c.coldPart,
+		LimitShare:     c.limitShare,
+		MovesConfirmed: func() time.Time { return clock.Now().Add(-c.moves.Age()) },
 	})
 	operator := replicator.Rewriting{KeepMissing: true, Within: operatorRewriteTime}
 	c.config = c.newReplicator(adapter.Kinds.Configuration, 0, replicator.Rewriting{Later: adapter.LaterConfiguration, KeepMissing: true}, c.applyConfiguration)
@@ -191,9 +192,10 @@
 	return c.config.Age() < c.settings.Load().Bounds.converge()-convergeMargin
 }
 
-// serving reports whether the instance accepts new requests.
+// serving reports whether the instance accepts new requests. Without the moves, it would
+// send as much to a version that is being tried as to the others.
 func (c *Conductor) serving() bool {
-	return !c.leaving.Load() && c.table.Load() != nil && c.tracker.UsableCount() > 0
+	return !c.leaving.Load() && c.table.Load() != nil && c.moves.State() != nil && c.tracker.UsableCount() > 0
 }
 
 // applyConfiguration applies a newer configuration. If it cannot be decoded,
--- a/tracker/replica.go
+++ b/tracker/replica.go
@@ -50,6 +50,11 @@
 	// probablyGone is set if the target has probably ended. It gets requests only
 	// if its service has no other targets.
 	probablyGone bool
+	// heldSince is when a target with a version that is new to its service was listed;
+	// zero once the moves to versions are known. Tracker.mu guards it.
+	heldSince time.Time
+	// versionKnown is set once it has been released.
+	versionKnown bool
 
 	mu          sync.Mutex
 	outstanding int
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -38,6 +38,9 @@
 	// target may get; spare is how many of these per second may exceed the target's
 	// rate.
 	ColdPart func(target string, spare float64) float64
+	// MovesConfirmed returns when the list of moves to versions was last known to be
+	// complete; nil means always.
+	MovesConfirmed func() time.Time
 	// LimitShare returns this instance's part of the limit that a target names, of
 	// which ordinal is the place among the listed targets of its service by ID.
 	LimitShare func(ordinal int, perSecond float64) LimitShare
@@ -126,9 +129,11 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	listed := make(map[string]struct{}, len(entries))
+	versions := t.versionsInUse()
 	for _, e := range entries {
 		listed[e.ID] = struct{}{}
 		t.upsert(e, now)
+		t.holdNewVersion(e, versions, now)
 	}
 	var missing []*Replica
 	for id, r := range t.replicas {
@@ -163,17 +168,17 @@
 	defer t.mu.Unlock()
 	t.forgetLimits(now)
 	t.reportLimits(now)
-	removed := false
+	changed := t.releaseVersions(now)
 	for id, r := range t.replicas {
 		if t.idleTimeout > 0 {
 			r.Pool.CloseIdle(t.idleTimeout)
 		}
 		if !r.usableUntil.IsZero() && !now.Before(r.usableUntil) {
 			t.remove(id, r, "no longer listed")
-			removed = true
+			changed = true
 		}
 	}
-	if removed {
+	if changed {
 		t.publish()
 	}
 }
@@ -253,6 +258,9 @@
 			continue
 		}
 		r.Pool.SetExpiry(r.usableUntil)
+		if !r.heldSince.IsZero() {
+			continue
+		}
 		switch {
 		case r.probablyGone:
 			probablyGone[e.Service] = append(probablyGone[e.Service], r)
