Count what overtaken attempts at a new version take in the end

A version that answers half of its requests eight times as slowly was not found bad: a hedge at the old version overtakes such an attempt after twice the usual time, which is short of what counts as slow, and nobody looked at the answer that came after that. 19 and 45 requests were sent to it more than 5 s after its 50th bad answer (two runs of TestBadVersionGetsRequestsAfterItsFault).

The connection of an abandoned request waits for its answer for a second anyway, so that it can be used again. The attempt is now judged by that answer, its status included, or as one that took more than a second.

--- a/connector/pool.go
+++ b/connector/pool.go
@@ -52,7 +52,7 @@
 	// ErrRefusing is returned while there is no connection to the target and none
 	// may be opened, usually because the target reset the last ones.
 	ErrRefusing = errors.New("the target refuses new connections")
-	// ErrWithheld is returned if the condition of SendIf was not met.
+	// ErrWithheld is returned if Hooks.Permit returned false.
 	ErrWithheld = errors.New("the target may get no further request now")
 )
 
@@ -216,14 +216,23 @@
 // still read so that the connection can be reused. If it ends for any other
 // cause, the connection is closed, which cancels the request.
 func (p *Pool) Send(ctx context.Context, r *Request) (Answer, error) {
-	return p.SendIf(ctx, r, func() bool { return true })
+	return p.SendWith(ctx, r, Hooks{})
 }
 
-// SendIf sends the request as Send does if permit, which is called once when there
-// is a connection for it, returns true. If not, the error wraps ErrNotSent and
-// ErrWithheld.
-func (p *Pool) SendIf(ctx context.Context, r *Request, permit func() bool) (Answer, error) {
-	permitted := false
+// Hooks are functions that are called for one request. Each may be nil.
+type Hooks struct {
+	// Permit is called once when there is a connection. If it returns false, the request
+	// is not sent.
+	Permit func() bool
+	// Late is called with the answer to a request that was sent and then abandoned, or
+	// with an error if none came in time.
+	Late func(Answer, error)
+}
+
+// SendWith sends the request as Send does, with hooks. If it is not permitted, the
+// error wraps ErrNotSent and ErrWithheld.
+func (p *Pool) SendWith(ctx context.Context, r *Request, hooks Hooks) (Answer, error) {
+	permitted := hooks.Permit == nil
 	for {
 		c, err := p.acquire(ctx, r.Fresh)
 		if err != nil {
@@ -233,7 +242,7 @@
 			p.release(c, true)
 			return Answer{}, errors.Join(ErrNotSent, ErrClosed)
 		}
-		if permitted = permitted || permit(); !permitted {
+		if permitted = permitted || hooks.Permit(); !permitted {
 			p.release(c, true)
 			return Answer{}, errors.Join(ErrNotSent, ErrWithheld)
 		}
@@ -254,7 +263,7 @@
 			return res.answer, nil
 		}
 		if errors.Is(res.err, ErrAbandoned) {
-			go p.awaitAbandoned(c, e)
+			go p.awaitAbandoned(c, e, hooks.Late)
 		} else {
 			c.conn.Close()
 		}
@@ -269,13 +278,17 @@
 
 // awaitAbandoned returns the connection of an abandoned request to the pool if
 // the answer arrives within abandonedAnswerTimeout, and closes it otherwise.
-func (p *Pool) awaitAbandoned(c *connection, e *exchange) {
+func (p *Pool) awaitAbandoned(c *connection, e *exchange, late func(Answer, error)) {
+	res := &result{err: fmt.Errorf("none within %v: %w", abandonedAnswerTimeout, ErrAbandoned)}
 	select {
-	case res := <-e.done:
+	case res = <-e.done:
 		p.release(c, res.reusable)
 	case <-p.settings.Clock.After(abandonedAnswerTimeout):
 		c.conn.Close()
 	}
+	if late != nil {
+		late(res.answer, res.err)
+	}
 }
 
 // acquire returns an idle connection, or opens one if the bound allows it, or
--- a/sender/run.go
+++ b/sender/run.go
@@ -223,8 +223,13 @@
 // sendAttempt sends the request to one target and delivers the result to the
 // loop.
 func (r *callState) sendAttempt(ctx context.Context, index int, kind AttemptKind, replica *tracker.Replica, sentAt time.Time) {
-	answer, err := replica.Pool.SendIf(ctx, r.call.Request, func() bool {
-		return !r.isRejected(replica.Entry().Version) && replica.Permit(r.sender.settings.Clock.Now(), kind != First)
+	answer, err := replica.Pool.SendWith(ctx, r.call.Request, connector.Hooks{
+		Permit: func() bool {
+			return !r.isRejected(replica.Entry().Version) && replica.Permit(r.sender.settings.Clock.Now(), kind != First)
+		},
+		Late: func(answer connector.Answer, err error) {
+			r.observe(replica, classify(&answer, err), answer.Status, sentAt)
+		},
 	})
 	now := r.sender.settings.Clock.Now()
 	took := now.Sub(sentAt)
@@ -240,15 +245,27 @@
 	if result == Answered || result == Overtaken {
 		r.latency.Observe(now, took)
 	}
-	if observe := r.sender.settings.Observe; observe != nil {
-		observe(Observation{
-			Call: r.call, Version: replica.Entry().Version, Result: result, Status: answer.Status,
-			Took: took, Typical: r.latency.Typical(), Cold: replica.IsCold(now),
-		})
+	if result != Overtaken {
+		// What an overtaken attempt says about its target is known only when its answer
+		// arrives.
+		r.observe(replica, result, answer.Status, sentAt)
 	}
 	r.results <- &completion{index: index, replica: replica, answer: answer, err: err, sentAt: sentAt, result: result}
 }
 
+// observe passes the end of an attempt on as evidence on the version of its target.
+func (r *callState) observe(replica *tracker.Replica, result AttemptResult, status int, sentAt time.Time) {
+	observe := r.sender.settings.Observe
+	if observe == nil {
+		return
+	}
+	now := r.sender.settings.Clock.Now()
+	observe(Observation{
+		Call: r.call, Version: replica.Entry().Version, Result: result, Status: status,
+		Took: now.Sub(sentAt), Typical: r.latency.Typical(), Cold: replica.IsCold(now),
+	})
+}
+
 // handleCompletion records the result of an attempt and starts a retry if the
 // call needs one. It returns the result of the call and true once that is known.
 func (r *callState) handleCompletion(c *completion) (CallResult, bool) {
