Keep the decision on a version when a list lacks its move

A list of moves that lacked the entry, as one read while the store comes back from an older copy can, made every instance forget the move: targets of a version that had been found bad got an equal part of the requests again, and when the entry was back the version was tried once more with no evidence.

A move that is no longer listed now keeps its evidence and its decision for 30 s, the time for which a returning store is waited for, and nothing is written meanwhile. An order for another version replaces it at once.

--- /dev/null
+++ b/promoter/missing_test.go
@@ -0,0 +1,59 @@
+package promoter
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	. "github.com/smartystreets/goconvey/convey"
+	"go.uber.org/zap"
+)
+
+func TestListWithoutMoveRevivesBadVersion(t *testing.T) {
+	// Guards against a version that was found bad and gets requests again because one
+	// list of the store lacked the move, and against a move that is kept for ever.
+	move := Move{Name: "s", Service: "s", Version: "v2", Duration: time.Hour, Revision: 3}
+	next := move
+	next.Version = "v3"
+	cases := []struct {
+		name    string
+		missing time.Duration
+		again   []Move
+		want    Plan
+	}{
+		{"missing now", time.Second, nil, Plan{"v2", 0}},
+		{"missing in one list", time.Second, []Move{move}, Plan{"v2", 0}},
+		{"missing until the store is back", 20 * time.Second, []Move{move}, Plan{"v2", 0}},
+		{"another version", time.Second, []Move{next}, Plan{"v3", canaryShare}},
+		{"withdrawn", 31 * time.Second, nil, Plan{}},
+		{"withdrawn and requested again later", 31 * time.Second, []Move{move}, Plan{"v2", canaryShare}},
+	}
+	Convey("A version that was found bad", t, func() {
+		for _, c := range cases {
+			Convey(c.name, func() {
+				clock := clockwork.NewFakeClock()
+				p := New(Settings{
+					Clock: clock, Log: zap.NewNop(), Rank: func() int { return 0 }, FleetSize: func() int { return 1 },
+					Write: func(context.Context, Move, State) error { return nil },
+				})
+				p.Update([]Move{move}, clock.Now())
+				for range 10 {
+					p.Observe(Observation{Service: "s", Version: "v2", Route: "r", Ended: true, Failed: true})
+				}
+				for range 10 {
+					clock.Advance(reviewPeriod)
+					p.review()
+				}
+				So(p.Plan("s"), ShouldResemble, Plan{"v2", 0})
+				p.Update(nil, clock.Now())
+				clock.Advance(c.missing)
+				So(p.review(), ShouldBeEmpty)
+				if c.again != nil {
+					p.Update(c.again, clock.Now())
+				}
+				So(p.Plan("s"), ShouldResemble, c.want)
+			})
+		}
+	})
+}
--- a/promoter/promoter.go
+++ b/promoter/promoter.go
@@ -34,6 +34,9 @@
 	rankDelay = 600 * time.Millisecond
 	// maxWriteBackoff bounds the time between two attempts to write a state.
 	maxWriteBackoff = 5 * time.Second
+	// forgetAfter is for how long a move that is no longer listed is kept. A list can
+	// lack it for as long as the store takes to come back from an older copy.
+	forgetAfter = 30 * time.Second
 	// reportPeriod is the time between two log lines on the evidence of a move.
 	reportPeriod = 2 * time.Second
 	// writeTimeout bounds writing a state.
@@ -112,6 +115,8 @@
 	evidence  *evidence
 	// reason says why the version was found bad, if it was.
 	reason string
+	// missingSince is since when the move has not been listed; zero if it is listed.
+	missingSince time.Time
 	// paused is set while the version gets no requests, as its answers could not be
 	// judged.
 	paused bool
@@ -148,8 +153,28 @@
 			m.decided, m.confirmed = next.State, next.State
 		}
 	}
-	for service := range p.moves {
-		if _, ok := listed[service]; !ok {
+	p.forget(listed)
+}
+
+// forget removes the moves that have not been listed for forgetAfter. One that is
+// missing in some lists only keeps its evidence and its decision.
+func (p *Promoter) forget(listed map[jujubegate.Service]struct{}) {
+	now := p.settings.Clock.Now()
+	for service, m := range p.moves {
+		switch _, ok := listed[service]; {
+		case ok:
+			m.missingSince = time.Time{}
+		case m.missingSince.IsZero():
+			m.missingSince = now
+			p.settings.Log.Info("promoter: move is no longer listed", zap.String("Service", string(service)), zap.String("Version", string(m.Version)))
+		}
+	}
+	p.forgetMissing(now)
+}
+
+func (p *Promoter) forgetMissing(now time.Time) {
+	for service, m := range p.moves {
+		if !m.missingSince.IsZero() && now.Sub(m.missingSince) >= forgetAfter {
 			delete(p.moves, service)
 		}
 	}
@@ -234,6 +259,7 @@
 	delay := time.Duration(p.settings.Rank()) * rankDelay
 	p.mu.Lock()
 	p.report(now)
+	p.forgetMissing(now)
 	rolledBack := false
 	var due []move
 	for _, m := range p.moves {
@@ -244,6 +270,9 @@
 			p.decide(m, now)
 			rolledBack = rolledBack || m.decided == RolledBack
 		}
+		if !m.missingSince.IsZero() {
+			continue
+		}
 		if (m.decided != Running || !m.Written) && now.Sub(m.dueAt) >= delay && !now.Before(m.notBefore) {
 			due = append(due, *m)
 		}
