Log the end of a target under a request and which request it was

An attempt under which its target crashed looked like one whose connection was lost, and a request that comes again had a new ID each time, so that the logs could not tell whether one request ends target after target or many are unlucky.

An attempt now says whether the process of its target had ended: no connection is left and it refuses a new one, which is found out within milliseconds, by a new connection if need be. A failed request logs a digest of method, host, path and body.

--- a/connector/pool.go
+++ b/connector/pool.go
@@ -11,6 +11,7 @@
 	"slices"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"jujubegate.example/jujubegate"
@@ -102,6 +103,10 @@
 	// ended without an answer. No connection is opened before dialAllowedAt.
 	dialFailures  int
 	dialAllowedAt time.Time
+	// dialing is the number of connections that are being opened, and refusedAt when the
+	// target last refused one.
+	dialing   int
+	refusedAt time.Time
 }
 
 // grant is what a waiter receives: a connection, or why there is none.
@@ -312,8 +317,7 @@
 	w := make(chan grant, 1)
 	p.waiters = append(p.waiters, w)
 	if mayDial {
-		p.open++
-		go p.dial()
+		p.startDial()
 	}
 	p.mu.Unlock()
 	select {
@@ -373,6 +377,13 @@
 	}
 }
 
+// startDial opens a connection in the background. The caller holds mu.
+func (p *Pool) startDial() {
+	p.open++
+	p.dialing++
+	go p.dial()
+}
+
 // dial opens a connection for the first waiter in the queue. If that fails, all
 // waiters fail.
 func (p *Pool) dial() {
@@ -382,11 +393,18 @@
 	if err != nil {
 		p.mu.Lock()
 		p.open--
+		p.dialing--
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			p.refusedAt = p.settings.Clock.Now()
+		}
 		p.backOff()
 		p.failWaiters(fmt.Errorf("open connection: %w", err))
 		p.mu.Unlock()
 		return
 	}
+	p.mu.Lock()
+	p.dialing--
+	p.mu.Unlock()
 	if p.settings.Opened != nil {
 		p.settings.Opened()
 	}
@@ -435,14 +453,10 @@
 	if !c.answered.Load() && !p.closed {
 		p.backOff()
 	}
-	redial := len(p.waiters) > 0 && !p.closed && p.mayDial()
-	if redial {
-		p.open++
+	if len(p.waiters) > 0 && !p.closed && p.mayDial() {
+		p.startDial()
 	} else if p.open == 0 {
 		p.failWaiters(ErrRefusing)
 	}
 	p.mu.Unlock()
-	if redial {
-		go p.dial()
-	}
 }
--- a/receiver/explain.go
+++ b/receiver/explain.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap/zapcore"
 
 	"jujubegate.example/jujubegate/gatherer"
+	"jujubegate.example/jujubegate/screener"
 	"jujubegate.example/jujubegate/sender"
 )
 
@@ -26,6 +27,9 @@
 	if e.table != nil {
 		fields = append(fields, zap.Int64("Configuration", e.table.Version))
 	}
+	if e.call != nil && status >= http.StatusInternalServerError {
+		fields = append(fields, zap.Stringer("Key", screener.KeyOf(e.call.Method, e.call.Host, e.call.URI, e.call.Body)))
+	}
 	if e.route != nil {
 		fields = append(fields, zap.String("Route", string(e.route.Name)))
 	}
@@ -61,6 +65,9 @@
 	if a.Status != 0 {
 		o.AddInt("Status", a.Status)
 	}
+	if a.TargetEnded {
+		o.AddBool("TargetEnded", true)
+	}
 	if a.Err != nil {
 		o.AddString("Error", a.Err.Error())
 	}
--- a/sender/call.go
+++ b/sender/call.go
@@ -29,6 +29,8 @@
 	Result   AttemptResult
 	Status   int
 	Err      error
+	// TargetEnded is set if the process of the target ended while it had the request.
+	TargetEnded bool
 }
 
 // AttemptKind is the reason for an attempt.
--- a/sender/run.go
+++ b/sender/run.go
@@ -49,6 +49,8 @@
 	err     error
 	sentAt  time.Time
 	result  AttemptResult
+	// ended is set if the process of the target ended.
+	ended bool
 }
 
 func (r *callState) loop() CallResult {
@@ -250,7 +252,8 @@
 		// arrives.
 		r.observe(replica, result, answer.Status, sentAt)
 	}
-	r.results <- &completion{index: index, replica: replica, answer: answer, err: err, sentAt: sentAt, result: result}
+	ended := result == Broken && connector.BrokenByTarget(err) && replica.Pool.Ended(ctx, sentAt)
+	r.results <- &completion{index: index, replica: replica, answer: answer, err: err, sentAt: sentAt, result: result, ended: ended}
 }
 
 // observe passes the end of an attempt on as evidence on the version of its target.
@@ -271,6 +274,7 @@
 func (r *callState) handleCompletion(c *completion) (CallResult, bool) {
 	attempt := &r.attempts[c.index]
 	attempt.Took, attempt.Result, attempt.Status, attempt.Err = r.sender.settings.Clock.Since(c.sentAt), c.result, c.answer.Status, c.err
+	attempt.TargetEnded = c.ended
 	switch c.result {
 	case Answered:
 		if c.answer.Status < 500 || !r.call.Route.Idempotent {
