Keep a request that crashes its targets from further targets

Each request is now followed at its targets (package screener). When a target ends under it, which the connector tells from a lost connection, its repeats wait until another target has answered it, which clears it, or three have ended, which stops them. A request that ended without any answer, while hardly any other target ended, is suspected: it goes to one target first when it comes again. It is blocked at all instances, for 5 minutes at first, once that has been seen in two runs and at three targets, and refused as not run with the time until it is tried again. An answer of any target clears it everywhere. Hedges of a query wait for the first answer of any shard, as no shard is a straggler before that.

One run alone proves nothing against a request, so that one which was in flight at many targets as they ended is never refused. Ruled out: the address of the caller as part of the key (the same request came from 28 of them), a block after one run, retries of each shard on its own.

--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -24,8 +24,10 @@
 	"jujubegate.example/jujubegate/recorder"
 	"jujubegate.example/jujubegate/replicator"
 	"jujubegate.example/jujubegate/router"
+	"jujubegate.example/jujubegate/screener"
 	"jujubegate.example/jujubegate/sender"
 	"jujubegate.example/jujubegate/tracker"
+	"jujubegate.example/jujubegate/wire"
 )
 
 const (
@@ -70,6 +72,7 @@
 	moves          *replicator.Replicator
 	reader         *replicator.Reader
 	promoter       *promoter.Promoter
+	screener       *screener.Screener
 	decodedTargets map[string]decodedTarget
 	division       atomic.Pointer[division]
 	transport      *http.Transport
@@ -104,6 +107,7 @@
 		NewPool: func(e tracker.Entry, bound int) *connector.Pool {
 			return connector.New(connector.Settings{
 				Target: e.Address, TargetID: e.ID, Names: adapter.Names, Clock: clock, Opened: opened.Inc, Memory: memory,
+				Lost: func() { c.screener.RecordEnd(e.ID) },
 				Dial: c.dialTarget(e.DataCentre),
 			}, bound)
 		},
@@ -135,9 +139,14 @@
 		Fleet: settings.fleet(), Seeds: settings.Seeds, Clock: clock, Log: log,
 		Replicators:  []*replicator.Replicator{c.config, c.targets, c.outOfService, c.moves},
 		LocalTallies: c.promoter.Tallies, TalliesReceived: c.promoter.MergeTallies,
-		LocalVerdicts: c.promoter.Verdicts, VerdictsReceived: c.promoter.MergeVerdicts,
+		LocalScreenings:    func(whole bool) []*wire.Screening { return c.screener.News(whole) },
+		ScreeningsReceived: func(s []*wire.Screening) { c.screener.Merge(s) },
+		LocalVerdicts:      c.promoter.Verdicts, VerdictsReceived: c.promoter.MergeVerdicts,
 		Serving: c.serving, Changed: c.peersChanged, Client: &http.Client{Transport: c.transport},
 	})
+	c.screener = screener.New(screener.Settings{
+		Clock: clock, Log: log, Changed: func() { c.gossiper.TriggerRound() },
+	})
 	c.sender = sender.New(sender.Settings{
 		Tracker: c.tracker, Clock: clock, Seed: rand.Uint64(), Share: c.share, DataCentre: settings.DataCentre,
 		Plan: c.promoter.Plan, Observe: c.observe,
@@ -146,11 +155,12 @@
 	gather := gatherer.New(gatherer.Settings{Clock: clock, Send: c.sender.Send, Wait: c.sender.Wait, ReturnAfter: c.sender.ReturnAfter})
 	c.receiver = receiver.New(receiver.Settings{
 		Names: adapter.Names, Clock: clock, Log: log, Recorder: rec,
-		Table: c.table.Load, Current: c.configurationCurrent, Leaving: c.leaving.Load, Memory: memory, Estimator: estimator.New(clock),
+		Table: c.table.Load, Current: c.configurationCurrent, Leaving: c.leaving.Load, Memory: memory, Estimator: estimator.New(clock), Screener: c.screener,
 		Send: c.sender.Send, Gather: gather.Gather,
 	})
 	rec.GaugeFunc(recorder.TargetsKnown, func() int64 { return int64(c.tracker.UsableCount()) })
 	rec.GaugeFunc(recorder.TargetsLimited, func() int64 { return int64(c.tracker.LimitedCount()) })
+	rec.GaugeFunc(recorder.RequestsBlocked, func() int64 { return int64(c.screener.BlockedCount()) })
 	rec.GaugeFunc(recorder.InstancesKnown, func() int64 { return int64(c.countInstances()) })
 	return c
 }
--- a/connector/connection.go
+++ b/connector/connection.go
@@ -82,6 +82,8 @@
 	closed bool
 	ended  bool
 
+	// lost is set if the target closed or reset the connection.
+	lost atomic.Bool
 	// answered is set after the first valid answer, or one for which this instance
 	// has no memory, which is no fault of the target.
 	answered atomic.Bool
@@ -307,6 +309,9 @@
 	c.closed, c.ended = true, true
 	c.mu.Unlock()
 	c.conn.Close()
+	if first {
+		c.lost.Store(BrokenByTarget(cause))
+	}
 	if e != nil {
 		if cause == nil {
 			cause = net.ErrClosed
--- a/connector/pool.go
+++ b/connector/pool.go
@@ -81,6 +81,8 @@
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 	// Opened is called for each new connection; may be nil.
 	Opened func()
+	// Lost is called when the target has closed or reset the last connection; may be nil.
+	Lost func()
 }
 
 // Pool holds the connections to one target. It is safe for concurrent use.
@@ -453,10 +455,14 @@
 	if !c.answered.Load() && !p.closed {
 		p.backOff()
 	}
+	lost := c.lost.Load() && !p.closed && p.open == p.dialing
 	if len(p.waiters) > 0 && !p.closed && p.mayDial() {
 		p.startDial()
 	} else if p.open == 0 {
 		p.failWaiters(ErrRefusing)
 	}
 	p.mu.Unlock()
+	if lost && p.settings.Lost != nil {
+		p.settings.Lost()
+	}
 }
--- a/gatherer/gatherer.go
+++ b/gatherer/gatherer.go
@@ -9,6 +9,7 @@
 	"jujubegate.example/jujubegate"
 	"jujubegate.example/jujubegate/connector"
 	"jujubegate.example/jujubegate/router"
+	"jujubegate.example/jujubegate/screener"
 	"jujubegate.example/jujubegate/sender"
 )
 
@@ -47,6 +48,8 @@
 	Route   *router.Route
 	// Due is when the answer must be known to reach the caller within the objective.
 	Due time.Time
+	// Run follows what happens to the query at its targets; may be nil.
+	Run *screener.Run
 }
 
 // MissingShard is a shard whose records are missing from an answer.
@@ -115,10 +118,22 @@
 	}
 	ctx, cancel := context.WithCancelCause(ctx)
 	results := make(chan *shardResult, len(shards))
-	for i, shard := range shards {
-		go func() {
-			results <- &shardResult{i, g.settings.Send(ctx, sender.Call{Request: q.Request, Route: q.Route, Service: shard, Due: q.Due})}
-		}()
+	send := func(i int) {
+		results <- &shardResult{i, g.settings.Send(ctx, sender.Call{Request: q.Request, Route: q.Route, Service: shards[i], Due: q.Due, Run: q.Run})}
+	}
+	q.Run.Share()
+	first := 0
+	if q.Run.Cautious() {
+		// The query may crash its targets, and goes to the others once one has answered.
+		if send(0); !q.Run.Answered() {
+			r := <-results
+			cancel(connector.ErrAbandoned)
+			return Result{Outcome: r.result.Outcome, Reason: r.result.Reason, RetryAfter: r.result.RetryAfter, MissingCount: len(shards), DecidedAt: g.settings.Clock.Now()}
+		}
+		first = 1
+	}
+	for i := first; i < len(shards); i++ {
+		go send(i)
 	}
 	s := &queryState{
 		query: q, top: NewTop(q.Route.Gather.Top), signatures: make(map[string]struct{}, len(shards)),
--- a/gossiper/exchange.go
+++ b/gossiper/exchange.go
@@ -34,7 +34,8 @@
 	sentAt := g.settings.Clock.Now()
 	self := g.self()
 	response, err := g.client(address).Exchange(ctx, connect.NewRequest(&wire.ExchangeRequest{
-		Fleet: g.settings.Fleet, Receiver: address, Sender: self, Known: append(g.news(whole), g.suspicionOf(address)...), Holdings: g.holdings(),
+		Screenings: g.screenings(whole || g.Size() == 1),
+		Fleet:      g.settings.Fleet, Receiver: address, Sender: self, Known: append(g.news(whole), g.suspicionOf(address)...), Holdings: g.holdings(),
 		Whole: whole || g.Size() == 1, Tallies: g.tallies(whole || g.Size() == 1), Digest: g.digest(self), Verdicts: g.verdicts(),
 	}))
 	if err != nil {
@@ -53,6 +54,7 @@
 	g.merge(m.Sender, m.Known)
 	g.reconcile(address, m.Holdings, sentAt)
 	g.deliverMoveNews(m.Verdicts, m.Tallies)
+	g.deliverScreenings(m.Screenings)
 	if !whole && len(m.Known) == 0 && m.Digest != g.digest(g.self()) && g.mayExchangeWhole() {
 		go g.exchange(context.WithoutCancel(ctx), address, true)
 	}
@@ -99,9 +101,11 @@
 		g.askBack(m.Sender.PeerAddress)
 	}
 	g.deliverMoveNews(m.Verdicts, m.Tallies)
+	g.deliverScreenings(m.Screenings)
 	self := g.self()
 	return connect.NewResponse(&wire.ExchangeResponse{
-		Sender: self, Known: append(g.news(m.Whole || started), suspicion...), Holdings: g.holdings(), Tallies: g.tallies(m.Whole || started), Digest: g.digest(self), Verdicts: g.verdicts(),
+		Screenings: g.screenings(m.Whole || started),
+		Sender:     self, Known: append(g.news(m.Whole || started), suspicion...), Holdings: g.holdings(), Tallies: g.tallies(m.Whole || started), Digest: g.digest(self), Verdicts: g.verdicts(),
 	}), nil
 }
 
@@ -142,6 +146,19 @@
 	}
 }
 
+func (g *Gossiper) screenings(whole bool) []*wire.Screening {
+	if g.settings.LocalScreenings == nil {
+		return nil
+	}
+	return g.settings.LocalScreenings(whole)
+}
+
+func (g *Gossiper) deliverScreenings(screenings []*wire.Screening) {
+	if g.settings.ScreeningsReceived != nil && len(screenings) > 0 {
+		g.settings.ScreeningsReceived(screenings)
+	}
+}
+
 // merge merges the state that a peer sent: its own and what it knows of other
 // instances. It returns whether the sender is a new process.
 func (g *Gossiper) merge(sender *wire.Peering, known []*wire.Peering) (started bool) {
--- a/gossiper/fleet_test.go
+++ b/gossiper/fleet_test.go
@@ -18,6 +18,7 @@
 	"jujubegate.example/jujubegate"
 	"jujubegate.example/jujubegate/promoter"
 	"jujubegate.example/jujubegate/replicator"
+	"jujubegate.example/jujubegate/screener"
 )
 
 const (
@@ -32,6 +33,7 @@
 	instances []*Gossiper
 	// promoters are those of the instances in the same order.
 	promoters []*promoter.Promoter
+	screeners []*screener.Screener
 	cancels   []context.CancelFunc
 	running   sync.WaitGroup
 
@@ -67,7 +69,11 @@
 		Write:      func(context.Context, promoter.Move, promoter.State) error { return errors.New("the store is down") },
 		OnRollback: func() { g.TriggerRound() },
 	})
+	screen := screener.New(screener.Settings{
+		Clock: clock, Log: zap.NewNop(), Changed: func() { g.TriggerRound() },
+	})
 	g = New(Settings{
+		LocalScreenings: screen.News, ScreeningsReceived: screen.Merge,
 		LocalTallies: moves.Tallies, TalliesReceived: moves.MergeTallies,
 		LocalVerdicts: moves.Verdicts, VerdictsReceived: moves.MergeVerdicts,
 		Self: p, Fleet: "f", Seeds: seeds, Clock: clock, Log: zap.NewNop(), Replicators: []*replicator.Replicator{r},
@@ -78,6 +84,7 @@
 	f.handlers[p.PeerAddress] = handler
 	f.instances = append(f.instances, g)
 	f.promoters = append(f.promoters, moves)
+	f.screeners = append(f.screeners, screen)
 	f.mu.Unlock()
 	ctx, cancel := context.WithCancel(context.Background())
 	f.cancels = append(f.cancels, cancel)
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -70,6 +70,11 @@
 	// VerdictsReceived is called with those that a peer knows. Both may be nil.
 	LocalVerdicts    func() []*wire.Verdict
 	VerdictsReceived func(verdicts []*wire.Verdict)
+	// LocalScreenings returns what this instance knows of requests that crash targets:
+	// what must still be told, or all of it if whole is set. ScreeningsReceived is called
+	// with what a peer knows. Both may be nil.
+	LocalScreenings    func(whole bool) []*wire.Screening
+	ScreeningsReceived func(screenings []*wire.Screening)
 	// Client sends the requests to peers.
 	Client connect.HTTPClient
 }
--- a/gossiper/member.go
+++ b/gossiper/member.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/binary"
-	"math"
 	"slices"
 	"strings"
 	"time"
@@ -23,12 +22,6 @@
 	// forgetAfter is how long a dead instance still counts for shared limits and is
 	// contacted now and then.
 	forgetAfter = time.Minute
-	// tellsPerDoubling is how often an instance tells a change for each doubling of
-	// the fleet. Fewer instances learn each change if it is told less often.
-	tellsPerDoubling = 1.5
-	// heardTells is how many of these tells are saved when another instance turns out
-	// to know the change already.
-	heardTells = 2
 )
 
 // Peer describes one instance. It is immutable.
@@ -101,7 +94,7 @@
 
 // changed records that the state of an instance has changed and must be told.
 func (m *members) changed(r *record) {
-	r.tells = int(math.Ceil(tellsPerDoubling * math.Log2(float64(len(m.records)+2))))
+	r.tells = jujubegate.Tells(len(m.records) + 1)
 	m.peers = nil
 }
 
@@ -167,7 +160,7 @@
 		return true
 	}
 	if p.Suspected == (r.suspected() || r.dead()) {
-		r.tells = max(r.tells-heardTells, 0)
+		r.tells = max(r.tells-jujubegate.HeardTells, 0)
 	}
 	return false
 }
--- a/promoter/exchange.go
+++ b/promoter/exchange.go
@@ -12,12 +12,6 @@
 )
 
 const (
-	// tellsPerDoubling is how often an instance passes a tally of another one on for
-	// each doubling of the fleet.
-	tellsPerDoubling = 1.5
-	// heardTells is how many of these tells are saved when another instance turns out
-	// to know the tally already.
-	heardTells = 2
 	// maxPassedOn bounds the tallies of other instances in one message. Large fleets
 	// with many requests have more, but then each instance sees enough itself.
 	maxPassedOn = 8
@@ -93,7 +87,7 @@
 // MergeTallies merges what a peer knows. Tallies of services without a move are
 // ignored.
 func (p *Promoter) MergeTallies(received []*wire.Tally) {
-	tells := int(math.Ceil(tellsPerDoubling * math.Log2(float64(p.settings.FleetSize()+1))))
+	tells := jujubegate.Tells(p.settings.FleetSize())
 	own := reporter{string(p.settings.Instance), p.settings.Incarnation}
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -121,7 +115,7 @@
 	case t.Answers > r.tally.Answers:
 		r.tally, r.tells = t, tells
 	case t.Answers == r.tally.Answers:
-		r.tells = max(r.tells-heardTells, 0)
+		r.tells = max(r.tells-jujubegate.HeardTells, 0)
 	}
 }
 
--- a/receiver/explain.go
+++ b/receiver/explain.go
@@ -7,7 +7,6 @@
 	"go.uber.org/zap/zapcore"
 
 	"jujubegate.example/jujubegate/gatherer"
-	"jujubegate.example/jujubegate/screener"
 	"jujubegate.example/jujubegate/sender"
 )
 
@@ -28,7 +27,7 @@
 		fields = append(fields, zap.Int64("Configuration", e.table.Version))
 	}
 	if e.call != nil && status >= http.StatusInternalServerError {
-		fields = append(fields, zap.Stringer("Key", screener.KeyOf(e.call.Method, e.call.Host, e.call.URI, e.call.Body)))
+		fields = append(fields, zap.Stringer("Key", e.key()))
 	}
 	if e.route != nil {
 		fields = append(fields, zap.String("Route", string(e.route.Name)))
--- a/receiver/receiver.go
+++ b/receiver/receiver.go
@@ -18,6 +18,7 @@
 	"jujubegate.example/jujubegate/gatherer"
 	"jujubegate.example/jujubegate/recorder"
 	"jujubegate.example/jujubegate/router"
+	"jujubegate.example/jujubegate/screener"
 	"jujubegate.example/jujubegate/sender"
 )
 
@@ -58,8 +59,10 @@
 	Memory *connector.Memory
 	// Estimator estimates what part of a caller's time is used up elsewhere.
 	Estimator *estimator.Estimator
-	Send      func(ctx context.Context, c sender.Call) sender.CallResult
-	Gather    func(ctx context.Context, q gatherer.Query) gatherer.Result
+	// Screener holds back the requests that crash targets; may be nil.
+	Screener *screener.Screener
+	Send     func(ctx context.Context, c sender.Call) sender.CallResult
+	Gather   func(ctx context.Context, q gatherer.Query) gatherer.Result
 }
 
 // Receiver is the HTTP handler for callers.
@@ -98,6 +101,8 @@
 	table   *router.Table
 	route   *router.Route
 	call    *connector.Request
+	// run follows what happens to the request at its targets.
+	run *screener.Run
 	// left is how long the caller still waits.
 	left time.Duration
 	// deadline is the time by which the final answer must be sent.
@@ -126,6 +131,11 @@
 	ctx, cancel := context.WithDeadlineCause(r.Context(), e.deadline, context.DeadlineExceeded)
 	defer cancel()
 	e.estimate()
+	if f := e.screen(); f != nil {
+		e.refuse(f, zap.Stringer("Key", e.key()))
+		return
+	}
+	defer e.run.Finish()
 	if e.route.Gather != nil {
 		e.gather(ctx)
 		return
@@ -133,6 +143,24 @@
 	e.forward(ctx)
 }
 
+// key returns the key by which the request is known when it comes again.
+func (e *exchange) key() screener.Key {
+	return screener.KeyOf(e.call.Method, e.call.Host, e.call.URI, e.call.Body)
+}
+
+// screen begins the run of the request, or refuses one that crashes its targets.
+func (e *exchange) screen() *refusal {
+	if e.settings.Screener == nil {
+		return nil
+	}
+	run, block := e.settings.Screener.Begin(e.id, e.key)
+	if block != nil {
+		return &refusal{http.StatusServiceUnavailable, jujubegate.CrashesTargets, "this request crashes the targets that run it", block.For}
+	}
+	e.run = run
+	return nil
+}
+
 // estimate sets due by what the caller has used up of its time.
 func (e *exchange) estimate() {
 	if e.route.Objective <= 0 {
@@ -285,7 +313,7 @@
 // forward sends a request to one service.
 func (e *exchange) forward(ctx context.Context) {
 	service := e.route.Pick()
-	result := e.settings.Send(ctx, sender.Call{Request: e.call, Route: e.route, Service: service, Due: e.due})
+	result := e.settings.Send(ctx, sender.Call{Request: e.call, Route: e.route, Service: service, Due: e.due, Run: e.run})
 	e.decidedAt = e.settings.Clock.Now()
 	if !result.OK {
 		f := refusalFor(result.Outcome, result.Reason)
@@ -308,7 +336,7 @@
 
 // gather answers a query over many shards.
 func (e *exchange) gather(ctx context.Context) {
-	result := e.settings.Gather(ctx, gatherer.Query{Request: e.call, Route: e.route, Due: e.due})
+	result := e.settings.Gather(ctx, gatherer.Query{Request: e.call, Route: e.route, Due: e.due, Run: e.run})
 	e.decidedAt = result.DecidedAt
 	if !result.OK {
 		f := refusalFor(result.Outcome, result.Reason)
--- a/refusal.go
+++ b/refusal.go
@@ -52,6 +52,7 @@
 	Duplicate       Reason = "Duplicate"  // the order ID was used for another request
 	Expired         Reason = "Expired"    // the order ID is older than the retention time
 	NoCoverage      Reason = "NoCoverage" // too few shards or targets can answer
+	CrashesTargets  Reason = "CrashesTargets"
 )
 
 // Refusal is the typed error for a request without an answer.
--- a/sender/call.go
+++ b/sender/call.go
@@ -7,6 +7,7 @@
 	"jujubegate.example/jujubegate"
 	"jujubegate.example/jujubegate/connector"
 	"jujubegate.example/jujubegate/router"
+	"jujubegate.example/jujubegate/screener"
 )
 
 // Call is one request to one service.
@@ -16,6 +17,8 @@
 	Service jujubegate.Service
 	// Due is when the answer is needed; zero if there is no such time.
 	Due time.Time
+	// Run follows what happens to the request at its targets; may be nil.
+	Run *screener.Run
 }
 
 // Attempt is one sending of a request to one target.
--- a/sender/run.go
+++ b/sender/run.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"time"
 
 	"jujubegate.example/jujubegate"
 	"jujubegate.example/jujubegate/balancer"
 	"jujubegate.example/jujubegate/connector"
 	"jujubegate.example/jujubegate/hedger"
+	"jujubegate.example/jujubegate/screener"
 	"jujubegate.example/jujubegate/tracker"
 )
 
@@ -36,6 +38,8 @@
 	// mayHaveRun is set once a target may have run the request without a usable
 	// answer.
 	mayHaveRun bool
+	// repeatWaits is set while a retry waits for what becomes of the request elsewhere.
+	repeatWaits bool
 	// failure is a 5xx answer of a target, which is used if no other attempt
 	// gets a better one.
 	failure *completion
@@ -66,17 +70,30 @@
 	}
 	hedge := r.sender.settings.NewTimer(r.hedgeDelay())
 	defer hedge.Stop()
+	var repeat <-chan time.Time
 	for {
+		if r.repeatWaits && repeat == nil {
+			repeat = r.sender.settings.Clock.After(repeatCheckPeriod)
+		}
 		select {
 		case c := <-r.results:
 			r.inFlight--
 			if result, done := r.handleCompletion(c); done {
 				return result
 			}
+		case <-repeat:
+			repeat = nil
+			if result, done := r.retry(nil); done {
+				return result
+			}
 		case <-hedge.C:
 			if !r.mayHedge() {
 				continue
 			}
+			if !r.isStraggler() {
+				hedge.Reset(repeatCheckPeriod)
+				continue
+			}
 			// If no target or budget is available now, the timer tries again later.
 			r.startAttempt(Hedge)
 			hedge.Reset(r.hedgeDelay())
@@ -120,6 +137,13 @@
 	return r.call.Route.Idempotent && r.sent < r.call.Route.Attempts && r.inFlight > 0
 }
 
+// isStraggler reports whether the attempts in flight are late by comparison with other
+// shards of the query, or so late that they are hedged without any.
+func (r *callState) isStraggler() bool {
+	waited := r.sender.settings.Clock.Since(r.start) >= unansweredHedgeDelays*r.hedgeDelay()
+	return r.call.Run.MayHedge(waited)
+}
+
 // startAttempt sends the request to the best remaining target, or returns why it
 // cannot.
 func (r *callState) startAttempt(kind AttemptKind) jujubegate.Reason {
@@ -138,6 +162,7 @@
 	ctx, cancel := context.WithCancelCause(r.ctx)
 	r.cancels = append(r.cancels, cancel)
 	replica.Begin(now)
+	r.call.Run.BeginAttempt(replica.Entry().ID)
 	go r.sendAttempt(ctx, len(r.attempts)-1, kind, replica, now)
 	return ""
 }
@@ -230,7 +255,9 @@
 			return !r.isRejected(replica.Entry().Version) && replica.Permit(r.sender.settings.Clock.Now(), kind != First)
 		},
 		Late: func(answer connector.Answer, err error) {
-			r.observe(replica, classify(&answer, err), answer.Status, sentAt)
+			result := classify(&answer, err)
+			r.observe(replica, result, answer.Status, sentAt)
+			r.screen(context.WithoutCancel(ctx), replica, result, err, sentAt)
 		},
 	})
 	now := r.sender.settings.Clock.Now()
@@ -252,7 +279,7 @@
 		// arrives.
 		r.observe(replica, result, answer.Status, sentAt)
 	}
-	ended := result == Broken && connector.BrokenByTarget(err) && replica.Pool.Ended(ctx, sentAt)
+	ended := result != Overtaken && r.screen(ctx, replica, result, err, sentAt)
 	r.results <- &completion{index: index, replica: replica, answer: answer, err: err, sentAt: sentAt, result: result, ended: ended}
 }
 
@@ -269,6 +296,22 @@
 	})
 }
 
+// screen records what the end of an attempt says about the request, and reports whether
+// the process of the target has ended.
+func (r *callState) screen(ctx context.Context, replica *tracker.Replica, result AttemptResult, err error, sentAt time.Time) bool {
+	run := r.call.Run
+	defer run.EndAttempt()
+	switch {
+	case result == Answered:
+		run.RecordAnswer()
+	case result == Broken && connector.BrokenByTarget(err) && !run.Answered() && replica.Pool.Ended(ctx, sentAt):
+		e := replica.Entry()
+		run.RecordCrash(fmt.Sprint(e.ID, "/", e.Started))
+		return true
+	}
+	return false
+}
+
 // handleCompletion records the result of an attempt and starts a retry if the
 // call needs one. It returns the result of the call and true once that is known.
 func (r *callState) handleCompletion(c *completion) (CallResult, bool) {
@@ -290,8 +333,30 @@
 	if r.ctx.Err() != nil {
 		return r.interrupted(), true
 	}
-	if r.mayRetry() && r.startAttempt(Retry) == "" {
-		return CallResult{}, false
+	return r.retry(c)
+}
+
+// retry sends the request again after the completion of an attempt, or after a retry
+// has waited if c is nil. If it must not be sent again and no attempt is left, it
+// returns the result of the call and true.
+func (r *callState) retry(c *completion) (CallResult, bool) {
+	r.repeatWaits = false
+	reason := jujubegate.CrashesTargets
+	if c != nil {
+		reason = reasonOf(c)
+	}
+	if r.mayRetry() {
+		switch r.call.Run.Repeat() {
+		case screener.Allowed:
+			if r.startAttempt(Retry) == "" {
+				return CallResult{}, false
+			}
+		case screener.Wait:
+			r.repeatWaits = true
+			return CallResult{}, false
+		case screener.Never:
+			reason = jujubegate.CrashesTargets
+		}
 	}
 	if r.inFlight > 0 {
 		return CallResult{}, false
@@ -299,7 +364,7 @@
 	if r.failure != nil {
 		return r.answered(r.failure), true
 	}
-	return r.noAnswer(reasonOf(c)), true
+	return r.noAnswer(reason), true
 }
 
 // mayRetry reports whether the request may be sent again. A non-idempotent
--- /dev/null
+++ b/sender/screened_test.go
@@ -0,0 +1,77 @@
+package sender
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"go.uber.org/zap"
+
+	"jujubegate.example/jujubegate"
+	"jujubegate.example/jujubegate/connector"
+	"jujubegate.example/jujubegate/router"
+	"jujubegate.example/jujubegate/screener"
+)
+
+func TestRetryFollowsCrashedTarget(t *testing.T) {
+	// Guards against retries of a request that crashes its targets, and against a
+	// request without a retry that only shared a target with such a one.
+	cases := []struct {
+		name string
+		// elsewhere is what happens to the request at other targets meanwhile.
+		elsewhere func(s *screener.Screener, run *screener.Run)
+		answered  bool
+	}{
+		{"it crashes others too", func(s *screener.Screener, run *screener.Run) {
+			for _, target := range []string{"b", "c"} {
+				run.BeginAttempt(target)
+				s.RecordEnd(target)
+				run.RecordCrash(target)
+				run.EndAttempt()
+			}
+		}, false},
+		{"another target answers it", func(_ *screener.Screener, run *screener.Run) { run.RecordAnswer() }, true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			s := screener.New(screener.Settings{Clock: clockwork.NewRealClock(), Log: zap.NewNop()})
+			crash := make(chan struct{})
+			f := newFixture(t, 50, func(string) string { close(crash); return "" }, ok)
+			run, _ := s.Begin("1", func() screener.Key { return screener.Key{} })
+			run.BeginAttempt("z")
+			go func() {
+				<-crash
+				f.listeners[0].Close()
+				time.Sleep(60 * ms)
+				if got := f.runs[1].Load(); got > 0 {
+					t.Errorf("%d retries before it was known what becomes of the request elsewhere", got)
+				}
+				c.elsewhere(s, run)
+				run.EndAttempt()
+			}()
+			request := &connector.Request{ID: "id", Method: "GET", URI: "/", Host: "h", Deadline: time.Now().Add(time.Second)}
+			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+			defer cancel()
+			call := &callState{
+				sender: f.sender, ctx: ctx, start: time.Now(), results: make(chan *completion, 8),
+				call:   Call{Request: request, Route: &router.Route{Name: "r", Idempotent: true, Attempts: 2}, Service: service, Run: run},
+				budget: f.sender.repeatBudget(service), latency: f.sender.Latency("r"),
+			}
+			// The first attempt goes to the target that crashes.
+			call.candidates.repeats = f.sender.settings.Tracker.Replicas(service)
+			for _, r := range call.candidates.repeats {
+				if r.Entry().ID == "t-0" {
+					call.candidates.first = append(call.candidates.first, r)
+				}
+			}
+			result := call.loop()
+			if result.OK != c.answered {
+				t.Errorf("answered %v, want %v", result.OK, c.answered)
+			}
+			if !c.answered && (f.runs[1].Load() > 0 || result.Reason != jujubegate.CrashesTargets || result.Outcome != jujubegate.Unknown) {
+				t.Errorf("%d retries, reason %s, outcome %s, want none, CrashesTargets and Unknown", f.runs[1].Load(), result.Reason, result.Outcome)
+			}
+		})
+	}
+}
--- a/sender/sender.go
+++ b/sender/sender.go
@@ -42,6 +42,12 @@
 	// stackOptions is the number of targets up to which choosing one does not
 	// allocate on the heap.
 	stackOptions = 16
+	// unansweredHedgeDelays is the time, in hedge delays, after which a query is hedged of
+	// which no shard has answered.
+	unansweredHedgeDelays = 3
+	// repeatCheckPeriod is the time after which a retry that waits is tried again. Targets
+	// answer within a few milliseconds of each other.
+	repeatCheckPeriod = 4 * time.Millisecond
 	// maxUnsentAttempts limits the attempts that do not reach their target.
 	maxUnsentAttempts = 4
 )
--- a/sender/sender_test.go
+++ b/sender/sender_test.go
@@ -58,6 +58,8 @@
 	sender *Sender
 	// runs counts the requests that each target received.
 	runs []*atomic.Int64
+	// listeners are those of the targets.
+	listeners []net.Listener
 }
 
 func newFixture(t *testing.T, allowance float64, targets ...behaviour) *fixture {
@@ -88,6 +90,7 @@
 		t.Cleanup(func() { l.Close() })
 		runs := &atomic.Int64{}
 		f.runs = append(f.runs, runs)
+		f.listeners = append(f.listeners, l)
 		if b == nil {
 			l.Close()
 		} else {
