--- a/cmd/jujubenode/main.go
+++ b/cmd/jujubenode/main.go
@@ -13,6 +13,7 @@
 
 	"github.com/jessevdk/go-flags"
 	"github.com/jonboulle/clockwork"
+	"go.uber.org/zap"
 
 	"jujubegate.example/jujubegate"
 	"jujubegate.example/jujubegate/conductor"
@@ -80,6 +81,8 @@
 		if err != nil {
 			storeFailures.Inc()
 		}
+	}, func(kind string, err error) {
+		log.Warn("platform: object of the store cannot be used", zap.String("Kind", kind), zap.Error(err))
 	})
 	metrics.Publish()
 	instance := conductor.New(settings, platform.New(store.Source()), clock, log.Logger, metrics)
