Answer HEAD requests and answers without a body that announce a length

Looking into another operator's report of targets that close in the middle of an answer's head showed something else: the answer to a HEAD request was read as one with a body of the announced length, so that each such request failed with 502 and cost a connection. It is now read without a body, and the caller gets the length that the target announced.

--- a/connector/connection.go
+++ b/connector/connection.go
@@ -281,8 +281,12 @@
 	}
 }
 
-// bodyLength returns the announced length of a body, or -1 if there is none.
+// bodyLength returns the announced length of a body, or -1 if there is none. An answer
+// to HEAD, or with a status that has no body, announces the length of another one.
 func bodyLength(r *http.Response) int64 {
+	if r.Body == http.NoBody {
+		return 0
+	}
 	if isChunked(r) {
 		return -1
 	}
--- a/receiver/receiver.go
+++ b/receiver/receiver.go
@@ -393,7 +393,9 @@
 
 func (e *exchange) write(status int, body []byte) {
 	header := e.writer.Header()
-	header["Content-Length"] = []string{strconv.Itoa(len(body))}
+	if e.request.Method != http.MethodHead || header.Get("Content-Length") == "" {
+		header["Content-Length"] = []string{strconv.Itoa(len(body))}
+	}
 	if _, ok := header["Content-Type"]; !ok {
 		// A nil value keeps net/http from guessing the content type.
 		header["Content-Type"] = nil
