Answer requests that arrive late in a planned stop, or refuse them at once

A stopping instance closed an order that came late without an answer, or took it and answered 502 when it ended: with http.Server.Shutdown, a request on a connection that was open before is read and then closed, so that its caller cannot know that it has not run and must not send it again.

The listener is closed and idle connections with it, as before, but what arrives on the others is handled until the rest is cancelled. A request that must not run twice and whose deadline lies after that moment is refused as not run at once; others are served.

--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -59,23 +59,27 @@
 	recorder *recorder.Recorder
 	started  time.Time
 
-	table          atomic.Pointer[router.Table]
-	leaving        atomic.Bool
-	registered     atomic.Bool
-	tracker        *tracker.Tracker
-	sender         *sender.Sender
-	gossiper       *gossiper.Gossiper
-	receiver       *receiver.Receiver
-	config         *replicator.Replicator
-	targets        *replicator.Replicator
-	outOfService   *replicator.Replicator
-	moves          *replicator.Replicator
-	reader         *replicator.Reader
-	promoter       *promoter.Promoter
-	screener       *screener.Screener
-	decodedTargets map[string]decodedTarget
-	division       atomic.Pointer[division]
-	transport      *http.Transport
+	table   atomic.Pointer[router.Table]
+	leaving atomic.Bool
+	// endsAt is when the remaining requests are cancelled; nil until the instance accepts
+	// no new connections any more.
+	endsAt            atomic.Pointer[time.Time]
+	callerConnections atomic.Int64
+	registered        atomic.Bool
+	tracker           *tracker.Tracker
+	sender            *sender.Sender
+	gossiper          *gossiper.Gossiper
+	receiver          *receiver.Receiver
+	config            *replicator.Replicator
+	targets           *replicator.Replicator
+	outOfService      *replicator.Replicator
+	moves             *replicator.Replicator
+	reader            *replicator.Reader
+	promoter          *promoter.Promoter
+	screener          *screener.Screener
+	decodedTargets    map[string]decodedTarget
+	division          atomic.Pointer[division]
+	transport         *http.Transport
 
 	// requestContext is the base context of all callers' requests. It is cancelled
 	// shortly before the grace period ends.
@@ -155,7 +159,7 @@
 	gather := gatherer.New(gatherer.Settings{Clock: clock, Send: c.sender.Send, Wait: c.sender.Wait, ReturnAfter: c.sender.ReturnAfter})
 	c.receiver = receiver.New(receiver.Settings{
 		Names: adapter.Names, Clock: clock, Log: log, Recorder: rec,
-		Table: c.table.Load, Current: c.configurationCurrent, Leaving: c.leaving.Load, Memory: memory, Estimator: estimator.New(clock), Screener: c.screener,
+		Table: c.table.Load, Current: c.configurationCurrent, Leaving: c.leaving.Load, EndsAt: c.endsAt.Load, Memory: memory, Estimator: estimator.New(clock), Screener: c.screener,
 		Send: c.sender.Send, Gather: gather.Gather,
 	})
 	rec.GaugeFunc(recorder.TargetsKnown, func() int64 { return int64(c.tracker.UsableCount()) })
--- a/conductor/lifecycle.go
+++ b/conductor/lifecycle.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"net"
+	"net/http"
 	"sync"
 	"time"
 
@@ -16,6 +18,9 @@
 	// finalAnswerReserve is the time before the end of the grace period at which
 	// remaining requests are cancelled, so that they can still be answered.
 	finalAnswerReserve = 700 * time.Millisecond
+	// drainCheckPeriod is the time between two looks at the connections of callers while
+	// they are drained.
+	drainCheckPeriod = 50 * time.Millisecond
 	// finalAnswerTimeout bounds the answers to the cancelled requests.
 	finalAnswerTimeout = 200 * time.Millisecond
 	// announceTimeout bounds the announcement to peers that this instance leaves.
@@ -100,6 +105,7 @@
 // and returns after the last request or at the end of the grace period.
 func (c *Conductor) shutDown(servers []namedServer) {
 	start := c.clock.Now()
+	endsAt := start.Add(c.settings.Load().Bounds.grace() - finalAnswerReserve)
 	c.leaving.Store(true)
 	c.log.Info("conductor: shutting down")
 	ctx, cancel := context.WithTimeout(context.Background(), announceTimeout)
@@ -107,21 +113,19 @@
 	cancel()
 	go c.deregister()
 	c.clock.Sleep(max(leavingAcceptTime-c.clock.Since(start), 0))
+	c.endsAt.Store(&endsAt)
 	var group sync.WaitGroup
 	for _, s := range servers {
 		if s.name != callerServerName {
 			continue
 		}
 		group.Go(func() {
-			remaining := max(c.settings.Load().Bounds.grace()-finalAnswerReserve-c.clock.Since(start), 0)
-			ctx, cancel := context.WithTimeout(context.Background(), remaining)
-			defer cancel()
-			if err := s.server.Shutdown(ctx); err == nil {
+			if c.drainCallers(s) {
 				return
 			}
 			c.log.Warn("conductor: remaining requests are cancelled at the end of the grace period")
 			c.cancelRequests()
-			ctx, cancel = context.WithTimeout(context.Background(), finalAnswerTimeout)
+			ctx, cancel := context.WithTimeout(context.Background(), finalAnswerTimeout)
 			defer cancel()
 			if err := s.server.Shutdown(ctx); err != nil {
 				c.log.Warn("conductor: requests are left without an answer", zap.Error(err))
@@ -132,6 +136,35 @@
 	c.log.Info("conductor: stopped", zap.Duration("After", c.clock.Since(start)))
 }
 
+// drainCallers closes the listener of the callers' server and its connections as they
+// become idle, and reports whether all are closed before requests are cancelled. It
+// does not use http.Server.Shutdown, after which a request that arrives on an open
+// connection is read and gets no answer.
+func (c *Conductor) drainCallers(s namedServer) bool {
+	if err := s.listener.Close(); err != nil {
+		c.log.Warn("conductor: listener of callers cannot be closed", zap.Error(err))
+	}
+	for c.callerConnections.Load() > 0 {
+		if c.clock.Now().After(*c.endsAt.Load()) {
+			return false
+		}
+		// Each call closes the connections that are idle.
+		s.server.SetKeepAlivesEnabled(false)
+		c.clock.Sleep(drainCheckPeriod)
+	}
+	return true
+}
+
+// countConnection counts the connections of callers by their changes of state.
+func (c *Conductor) countConnection(_ net.Conn, state http.ConnState) {
+	switch state {
+	case http.StateNew:
+		c.callerConnections.Add(1)
+	case http.StateClosed, http.StateHijacked:
+		c.callerConnections.Add(-1)
+	}
+}
+
 // deregister removes this instance's entry from the store if it wrote one.
 func (c *Conductor) deregister() {
 	if !c.registered.Load() {
--- a/conductor/serve.go
+++ b/conductor/serve.go
@@ -35,7 +35,7 @@
 	return &http.Server{
 		Handler:           c.receiver,
 		ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-		ConnContext: receiver.ConnContext,
+		ConnContext: receiver.ConnContext, ConnState: c.countConnection,
 		BaseContext: func(net.Listener) context.Context { return c.requestContext },
 	}
 }
--- a/receiver/receiver.go
+++ b/receiver/receiver.go
@@ -54,6 +54,9 @@
 	Current func() bool
 	// Leaving reports whether the instance is about to shut down.
 	Leaving func() bool
+	// EndsAt returns when the remaining requests are cancelled; nil while that is not
+	// near. May be nil.
+	EndsAt func() *time.Time
 	// Memory bounds the large bodies of all requests and answers together; nil means
 	// no bound.
 	Memory *connector.Memory
@@ -212,6 +215,10 @@
 	}
 	deadline := sender.Deadline(e.route, e.arrival, e.left)
 	e.deadline = deadline.Add(-answerReserve)
+	if !e.route.Idempotent && e.mayBeCancelled() {
+		// The caller could not send it again after that.
+		return &refusal{http.StatusServiceUnavailable, jujubegate.Leaving, "the instance is shutting down", shedRetryAfter}
+	}
 	e.call = &connector.Request{
 		ID: e.id, Method: e.request.Method, URI: uri, Host: e.request.Host,
 		Header: connector.ForwardedHeader(e.request.Header, e.excludedHeaders...),
@@ -223,6 +230,15 @@
 	return nil
 }
 
+// mayBeCancelled reports whether the instance may end before the request does.
+func (e *exchange) mayBeCancelled() bool {
+	if e.settings.EndsAt == nil {
+		return false
+	}
+	endsAt := e.settings.EndsAt()
+	return endsAt != nil && e.deadline.After(*endsAt)
+}
+
 // budget returns how long the caller waits for the answer, according to its
 // header or else the timeout of the route.
 func (e *exchange) budget() (time.Duration, *refusal) {
