Send nothing to a target in the pause that it has asked for

A target that turns a request away with 503 may add Retry-After: it wants nothing from that instance for so long. Nothing read it, so that a target that sheds load got as many requests as before.

No request is written to it from that answer on, hedges, retries and those that wait for a connection included; they go to another copy, are left out of a gathered answer, or are refused at once with the rest of the pause as the time to come back. When it ends one request is let through, and twice as many at once after each answer. The pause is this instance's own and changes no share of it. Seconds may have a fraction; the longest of several counts, an hour at most; what is negative, a date or no number is logged and changes nothing, and 0 is no pause.

--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -165,6 +165,7 @@
 	rec.GaugeFunc(recorder.TargetsKnown, func() int64 { return int64(c.tracker.UsableCount()) })
 	rec.GaugeFunc(recorder.TargetsLimited, func() int64 { return int64(c.tracker.LimitedCount()) })
 	rec.GaugeFunc(recorder.TargetsLeaving, func() int64 { return int64(c.tracker.LeavingCount()) })
+	rec.GaugeFunc(recorder.TargetsPaused, func() int64 { return int64(c.tracker.PausedCount()) })
 	rec.GaugeFunc(recorder.RequestsBlocked, func() int64 { return int64(c.screener.BlockedCount()) })
 	rec.GaugeFunc(recorder.InstancesKnown, func() int64 { return int64(c.countInstances()) })
 	return c
--- a/connector/connection.go
+++ b/connector/connection.go
@@ -280,6 +280,7 @@
 		Load:        parseLoad(h.Get(c.names.Load), c.clock.Now()),
 		Limit:       parseLimit(h, c.names.Limit),
 		Leaving:     isSet(h, c.names.Leaving),
+		Pause:       parsePause(response.StatusCode, h),
 	}
 }
 
--- a/connector/request.go
+++ b/connector/request.go
@@ -41,6 +41,8 @@
 	Limit       Limit
 	// Leaving says that the target leaves.
 	Leaving bool
+	// Pause is the time for which the target wants nothing from this instance.
+	Pause Pause
 }
 
 // Load is the load that a target reported with an answer.
--- a/recorder/metric.go
+++ b/recorder/metric.go
@@ -59,6 +59,7 @@
 	TargetsKnown       = Metric{"TargetsKnown", KindGauge, "targets", "listed targets that new requests may use"}
 	TargetsLimited     = Metric{"TargetsLimited", KindGauge, "targets", "targets that name a limit in their answers"}
 	TargetsLeaving     = Metric{"TargetsLeaving", KindGauge, "targets", "listed targets that have said in an answer that they leave"}
+	TargetsPaused      = Metric{"TargetsPaused", KindGauge, "targets", "targets that have asked this instance for a pause, or return from one"}
 	RequestsBlocked    = Metric{"RequestsBlocked", KindGauge, "requests", "requests, by their content, that are blocked because they crash targets"}
 	InstancesKnown     = Metric{"InstancesKnown", KindGauge, "instances", "live instances, this one included"}
 	StoreCalls         = Metric{"StoreCalls", KindCounter, "calls", "calls to the platform's store"}
@@ -73,7 +74,7 @@
 	TargetLatency, TargetsOwned, Orders, OrdersUnknown,
 	Generation, Epoch, Serving,
 	Forwarded, ForwardedAnswered, ForwardedPartial, ForwardedRefused, ForwardedFailed, ForwardedLatency,
-	ConnectionsOpened, TargetBytes, TargetBytesFar, PeerBytes, PeerBytesFar, ConfigurationInUse, TargetsKnown, TargetsLimited, TargetsLeaving, RequestsBlocked, InstancesKnown,
+	ConnectionsOpened, TargetBytes, TargetBytesFar, PeerBytes, PeerBytesFar, ConfigurationInUse, TargetsKnown, TargetsLimited, TargetsLeaving, TargetsPaused, RequestsBlocked, InstancesKnown,
 	StoreCalls, StoreFailures, LogLinesDropped,
 }
 
--- a/sender/run.go
+++ b/sender/run.go
@@ -250,9 +250,11 @@
 // sendAttempt sends the request to one target and delivers the result to the
 // loop.
 func (r *callState) sendAttempt(ctx context.Context, index int, kind AttemptKind, replica *tracker.Replica, sentAt time.Time) {
+	permitted := false
 	answer, err := replica.Pool.SendWith(ctx, r.call.Request, connector.Hooks{
 		Permit: func() bool {
-			return !r.isRejected(replica.Entry().Version) && replica.Permit(r.sender.settings.Clock.Now(), kind != First)
+			permitted = !r.isRejected(replica.Entry().Version) && replica.Permit(r.sender.settings.Clock.Now(), kind != First)
+			return permitted
 		},
 		Late: func(answer connector.Answer, err error) {
 			result := classify(&answer, err)
@@ -264,6 +266,9 @@
 	now := r.sender.settings.Clock.Now()
 	took := now.Sub(sentAt)
 	result := classify(&answer, err)
+	if permitted {
+		replica.EndPermitted(now, result == Answered)
+	}
 	replica.SetLoad(answer.Load)
 	if result == Answered || answer.Limit.Named && result != Misdirected {
 		r.sender.settings.Tracker.ObserveLimit(replica, answer.Limit, sentAt)
@@ -291,6 +296,9 @@
 	if answer.Leaving && result != Misdirected {
 		r.sender.settings.Tracker.ObserveLeaving(replica)
 	}
+	if answer.Pause.Asked && result != Misdirected {
+		r.sender.settings.Tracker.ObservePause(replica, answer.Pause)
+	}
 }
 
 // observe passes the end of an attempt on as evidence on the version of its target.
--- a/tracker/limit.go
+++ b/tracker/limit.go
@@ -169,8 +169,12 @@
 }
 
 // MayHedge reports whether the limit that the target names allows a hedge now. One
-// token is left for a request that has no other attempt.
+// token is left for a request that has no other attempt. No hedge is sent to a target
+// that has asked for a pause or returns from one.
 func (r *Replica) MayHedge(now time.Time) bool {
+	if r.paused.Load() {
+		return false
+	}
 	if !r.limited.Load() {
 		return true
 	}
@@ -183,6 +187,9 @@
 // It is asked when the request has a connection, since the target can name a limit
 // while the request waits for one. Repeat is set for a hedge or a retry.
 func (r *Replica) Permit(now time.Time, repeat bool) bool {
+	if !r.permitPaused(now) {
+		return false
+	}
 	if !r.limited.Load() {
 		return true
 	}
--- a/tracker/replica.go
+++ b/tracker/replica.go
@@ -70,6 +70,10 @@
 	// there is one.
 	limit   *namedLimit
 	limited atomic.Bool
+	// pause is the one that the target has asked for; nil means none. Paused is set if
+	// there is one.
+	pause  *pause
+	paused atomic.Bool
 	// ordinal is the place of the target among those of its service by ID.
 	ordinal atomic.Int32
 }
@@ -187,6 +191,9 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	delay := r.coldDelay(now)
+	if r.pause != nil {
+		delay = max(delay, r.pause.delay(now))
+	}
 	if r.limit != nil {
 		delay = max(delay, r.limit.delay(now, 1))
 	}
