Tell other instances which targets leave

Each instance learned only from its own answers that a target leaves, so that those that had sent it nothing lately sent one more request first.

What instances tell each other of targets, versions and requests is one message now (Notices), in place of a pair of functions for each kind. In TestTargetThatLeavesIsUsedByOtherInstances all 193 instances know within 3 s, one that has just started among them; all but one used the target before.

--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -27,7 +27,6 @@
 	"jujubegate.example/jujubegate/screener"
 	"jujubegate.example/jujubegate/sender"
 	"jujubegate.example/jujubegate/tracker"
-	"jujubegate.example/jujubegate/wire"
 )
 
 const (
@@ -118,6 +117,7 @@
 		ColdFactor: settings.Bounds.ColdFactor, ColdAllowance: settings.Bounds.ColdAllowance,
 		ColdPart:       c.coldPart,
 		LimitShare:     c.limitShare,
+		Changed:        func() { c.gossiper.TriggerRound() },
 		MovesConfirmed: func() time.Time { return clock.Now().Add(-c.moves.Age()) },
 	})
 	operator := replicator.Rewriting{KeepMissing: true, Within: operatorRewriteTime}
@@ -142,10 +142,7 @@
 		},
 		Fleet: settings.fleet(), Seeds: settings.Seeds, Clock: clock, Log: log,
 		Replicators:  []*replicator.Replicator{c.config, c.targets, c.outOfService, c.moves},
-		LocalTallies: c.promoter.Tallies, TalliesReceived: c.promoter.MergeTallies,
-		LocalScreenings:    func(whole bool) []*wire.Screening { return c.screener.News(whole) },
-		ScreeningsReceived: func(s []*wire.Screening) { c.screener.Merge(s) },
-		LocalVerdicts:      c.promoter.Verdicts, VerdictsReceived: c.promoter.MergeVerdicts,
+		LocalNotices: c.localNotices, NoticesReceived: c.mergeNotices,
 		Serving: c.serving, Changed: c.peersChanged, Client: &http.Client{Transport: c.transport},
 	})
 	c.screener = screener.New(screener.Settings{
--- a/gossiper/exchange.go
+++ b/gossiper/exchange.go
@@ -34,9 +34,8 @@
 	sentAt := g.settings.Clock.Now()
 	self := g.self()
 	response, err := g.client(address).Exchange(ctx, connect.NewRequest(&wire.ExchangeRequest{
-		Screenings: g.screenings(whole || g.Size() == 1),
-		Fleet:      g.settings.Fleet, Receiver: address, Sender: self, Known: append(g.news(whole), g.suspicionOf(address)...), Holdings: g.holdings(),
-		Whole: whole || g.Size() == 1, Tallies: g.tallies(whole || g.Size() == 1), Digest: g.digest(self), Verdicts: g.verdicts(),
+		Fleet: g.settings.Fleet, Receiver: address, Sender: self, Known: append(g.news(whole), g.suspicionOf(address)...), Holdings: g.holdings(),
+		Whole: whole || g.Size() == 1, Notices: g.notices(whole || g.Size() == 1), Digest: g.digest(self),
 	}))
 	if err != nil {
 		g.settings.Log.Debug("gossiper: exchange failed", zap.String("Address", address), zap.Error(err))
@@ -53,8 +52,7 @@
 	}
 	g.merge(m.Sender, m.Known)
 	g.reconcile(address, m.Holdings, sentAt)
-	g.deliverMoveNews(m.Verdicts, m.Tallies)
-	g.deliverScreenings(m.Screenings)
+	g.deliverNotices(m.Notices)
 	if !whole && len(m.Known) == 0 && m.Digest != g.digest(g.self()) && g.mayExchangeWhole() {
 		go g.exchange(context.WithoutCancel(ctx), address, true)
 	}
@@ -100,12 +98,10 @@
 		// In a larger fleet this instance asks as many peers itself in each round.
 		g.askBack(m.Sender.PeerAddress)
 	}
-	g.deliverMoveNews(m.Verdicts, m.Tallies)
-	g.deliverScreenings(m.Screenings)
+	g.deliverNotices(m.Notices)
 	self := g.self()
 	return connect.NewResponse(&wire.ExchangeResponse{
-		Screenings: g.screenings(m.Whole || started),
-		Sender:     self, Known: append(g.news(m.Whole || started), suspicion...), Holdings: g.holdings(), Tallies: g.tallies(m.Whole || started), Digest: g.digest(self), Verdicts: g.verdicts(),
+		Sender: self, Known: append(g.news(m.Whole || started), suspicion...), Holdings: g.holdings(), Notices: g.notices(m.Whole || started), Digest: g.digest(self),
 	}), nil
 }
 
@@ -122,40 +118,16 @@
 	go g.exchange(context.Background(), address, false)
 }
 
-func (g *Gossiper) tallies(whole bool) []*wire.Tally {
-	if g.settings.LocalTallies == nil {
+func (g *Gossiper) notices(whole bool) *wire.Notices {
+	if g.settings.LocalNotices == nil {
 		return nil
 	}
-	return g.settings.LocalTallies(whole)
+	return g.settings.LocalNotices(whole)
 }
 
-func (g *Gossiper) verdicts() []*wire.Verdict {
-	if g.settings.LocalVerdicts == nil {
-		return nil
-	}
-	return g.settings.LocalVerdicts()
-}
-
-// deliverMoveNews passes on what a peer sent about versions.
-func (g *Gossiper) deliverMoveNews(verdicts []*wire.Verdict, tallies []*wire.Tally) {
-	if g.settings.VerdictsReceived != nil && len(verdicts) > 0 {
-		g.settings.VerdictsReceived(verdicts)
-	}
-	if g.settings.TalliesReceived != nil && len(tallies) > 0 {
-		g.settings.TalliesReceived(tallies)
-	}
-}
-
-func (g *Gossiper) screenings(whole bool) []*wire.Screening {
-	if g.settings.LocalScreenings == nil {
-		return nil
-	}
-	return g.settings.LocalScreenings(whole)
-}
-
-func (g *Gossiper) deliverScreenings(screenings []*wire.Screening) {
-	if g.settings.ScreeningsReceived != nil && len(screenings) > 0 {
-		g.settings.ScreeningsReceived(screenings)
+func (g *Gossiper) deliverNotices(n *wire.Notices) {
+	if g.settings.NoticesReceived != nil && n != nil {
+		g.settings.NoticesReceived(n)
 	}
 }
 
--- a/gossiper/fleet_test.go
+++ b/gossiper/fleet_test.go
@@ -16,14 +16,19 @@
 	"go.uber.org/zap"
 
 	"jujubegate.example/jujubegate"
+	"jujubegate.example/jujubegate/connector"
 	"jujubegate.example/jujubegate/promoter"
 	"jujubegate.example/jujubegate/replicator"
 	"jujubegate.example/jujubegate/screener"
+	"jujubegate.example/jujubegate/tracker"
+	"jujubegate.example/jujubegate/wire"
 )
 
 const (
 	// messageOverhead stands for the headers of a request and its response.
 	messageOverhead = 500
+	// drainTime is how long a target that leaves goes on serving.
+	drainTime = 3 * time.Second
 	// trip is the time of a message between two instances.
 	trip = time.Millisecond
 )
@@ -34,6 +39,7 @@
 	// promoters are those of the instances in the same order.
 	promoters []*promoter.Promoter
 	screeners []*screener.Screener
+	trackers  []*tracker.Tracker
 	cancels   []context.CancelFunc
 	running   sync.WaitGroup
 
@@ -72,10 +78,22 @@
 	screen := screener.New(screener.Settings{
 		Clock: clock, Log: zap.NewNop(), Changed: func() { g.TriggerRound() },
 	})
+	targets := tracker.New(tracker.Settings{
+		Clock: clock, Log: zap.NewNop(), Drain: drainTime, Changed: func() { g.TriggerRound() },
+		NewPool: func(e tracker.Entry, bound int) *connector.Pool {
+			return connector.New(connector.Settings{Target: e.Address, TargetID: e.ID, Names: &connector.HeaderNames{}, Clock: clock}, bound)
+		},
+	})
 	g = New(Settings{
-		LocalScreenings: screen.News, ScreeningsReceived: screen.Merge,
-		LocalTallies: moves.Tallies, TalliesReceived: moves.MergeTallies,
-		LocalVerdicts: moves.Verdicts, VerdictsReceived: moves.MergeVerdicts,
+		LocalNotices: func(whole bool) *wire.Notices {
+			return &wire.Notices{Tallies: moves.Tallies(whole), Verdicts: moves.Verdicts(), Screenings: screen.News(whole), Departures: targets.Departures(whole)}
+		},
+		NoticesReceived: func(n *wire.Notices) {
+			moves.MergeVerdicts(n.Verdicts)
+			moves.MergeTallies(n.Tallies)
+			screen.Merge(n.Screenings)
+			targets.MergeDepartures(n.Departures)
+		},
 		Self: p, Fleet: "f", Seeds: seeds, Clock: clock, Log: zap.NewNop(), Replicators: []*replicator.Replicator{r},
 		Serving: func() bool { return true }, Changed: func([]Peer) {}, Client: &memoryClient{f, p},
 	})
@@ -85,6 +103,7 @@
 	f.instances = append(f.instances, g)
 	f.promoters = append(f.promoters, moves)
 	f.screeners = append(f.screeners, screen)
+	f.trackers = append(f.trackers, targets)
 	f.mu.Unlock()
 	ctx, cancel := context.WithCancel(context.Background())
 	f.cancels = append(f.cancels, cancel)
--- a/gossiper/fuzz_test.go
+++ b/gossiper/fuzz_test.go
@@ -22,7 +22,7 @@
 	for _, m := range []*wire.ExchangeRequest{
 		{Fleet: "f", Receiver: "127.0.0.1:1", Sender: peer, Holdings: []*wire.Holding{{Kind: "k", Revision: 2, AgeMs: -5}}},
 		{Fleet: "f", Receiver: "127.0.0.1:1", Sender: &wire.Peering{Instance: "a"}, Known: []*wire.Peering{peer, {}, {Instance: "a", Incarnation: 1 << 62, Suspected: true}}},
-		{Fleet: "f", Receiver: "127.0.0.1:1", Sender: peer, Whole: true, Tallies: []*wire.Tally{{Service: "s", Answers: -1}}},
+		{Fleet: "f", Receiver: "127.0.0.1:1", Sender: peer, Whole: true, Notices: &wire.Notices{Tallies: []*wire.Tally{{Service: "s", Answers: -1}}}},
 	} {
 		data, err := proto.Marshal(m)
 		if err != nil {
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -61,20 +61,11 @@
 	Serving func() bool
 	// Changed is called with the live peers after each change.
 	Changed func([]Peer)
-	// LocalTallies returns what this instance knows of the versions to which services
-	// are being moved: what it has counted, and what others have, all of it if whole is
-	// set. TalliesReceived is called with what a peer sent. Both may be nil.
-	LocalTallies    func(whole bool) []*wire.Tally
-	TalliesReceived func(tallies []*wire.Tally)
-	// LocalVerdicts returns the versions that this instance knows to be bad, and
-	// VerdictsReceived is called with those that a peer knows. Both may be nil.
-	LocalVerdicts    func() []*wire.Verdict
-	VerdictsReceived func(verdicts []*wire.Verdict)
-	// LocalScreenings returns what this instance knows of requests that crash targets:
-	// what must still be told, or all of it if whole is set. ScreeningsReceived is called
-	// with what a peer knows. Both may be nil.
-	LocalScreenings    func(whole bool) []*wire.Screening
-	ScreeningsReceived func(screenings []*wire.Screening)
+	// LocalNotices returns what this instance knows of targets, versions and requests and
+	// must still tell, or all of it if whole is set. NoticesReceived is called with what
+	// a peer knows. Both may be nil.
+	LocalNotices    func(whole bool) *wire.Notices
+	NoticesReceived func(notices *wire.Notices)
 	// Client sends the requests to peers.
 	Client connect.HTTPClient
 }
--- a/gossiper/screening_test.go
+++ b/gossiper/screening_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"jujubegate.example/jujubegate/screener"
+	"jujubegate.example/jujubegate/tracker"
 )
 
 func TestBlockedRequestIsSentByOtherInstances(t *testing.T) {
@@ -60,3 +61,40 @@
 		})
 	}
 }
+
+func TestTargetThatLeavesIsUsedByOtherInstances(t *testing.T) {
+	// Guards against instances that send to a target of which another one knows that it
+	// leaves, while the store still lists it, also those that start later.
+	const dataCentres, each, bound = 6, 32, 3 * time.Second
+	entries := []tracker.Entry{
+		{ID: "leaves", Address: "127.0.0.1:1", Service: "s", Started: 5}, {ID: "stays", Address: "127.0.0.1:2", Service: "s", Started: 5},
+	}
+	synctest.Test(t, func(t *testing.T) {
+		f := newMemoryFleet(dataCentres, each)
+		defer f.stop()
+		f.waitFor(t, f.instances, dataCentres*each-1, 10*time.Second)
+		time.Sleep(10 * time.Second)
+		for _, tr := range f.trackers {
+			tr.Update(entries, tracker.Recency{})
+		}
+		for _, r := range f.trackers[0].Replicas("s") {
+			if r.Entry().ID == "leaves" {
+				f.trackers[0].ObserveLeaving(r)
+			}
+		}
+		p := f.instances[0].settings.Self
+		p.Instance, p.PeerAddress = "started", "started:1"
+		f.start(p, []string{f.instances[0].settings.Self.PeerAddress})
+		time.Sleep(bound)
+		f.trackers[len(f.trackers)-1].Update(entries, tracker.Recency{})
+		using := 0
+		for _, tr := range f.trackers {
+			if len(tr.Replicas("s")) != 1 {
+				using++
+			}
+		}
+		if using > 0 {
+			t.Errorf("%d of %d instances still use the target %v after it said that it leaves", using, len(f.trackers), bound)
+		}
+	})
+}
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -38,6 +38,8 @@
 	// target may get; spare is how many of these per second may exceed the target's
 	// rate.
 	ColdPart func(target string, spare float64) float64
+	// Changed is called when other instances must be told of a target at once; may be nil.
+	Changed func()
 	// MovesConfirmed returns when the list of moves to versions was last known to be
 	// complete; nil means always.
 	MovesConfirmed func() time.Time
@@ -265,8 +267,8 @@
 		}
 		if d, ok := t.departureOf(e); ok {
 			// It still serves the requests that no other target can take.
-			r.Pool.SetExpiry(d.usableUntil)
-			if now.Before(d.usableUntil) {
+			r.Pool.SetExpiry(t.usableUntil(d))
+			if now.Before(t.usableUntil(d)) {
 				leaving[e.Service] = append(leaving[e.Service], r)
 			}
 			continue
