Wait for the connection that is being accepted before a stop ends

Its connection had been accepted, but was not counted yet when the stop found no connection left, 50 ms after the listener was closed.

The stop now waits until the server has returned from accepting, which hands over the last connection, as http.Server.Shutdown does.

--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -286,7 +286,10 @@
 	}
 	failed := make(chan error, len(servers))
 	for _, s := range servers {
-		go func() { failed <- s.server.Serve(s.listener) }()
+		go func() {
+			defer close(s.served)
+			failed <- s.server.Serve(s.listener)
+		}()
 	}
 	go c.reader.Run(background)
 	go c.gossiper.Run(background)
@@ -310,6 +313,8 @@
 	name     string
 	server   *http.Server
 	listener net.Listener
+	// served is closed once the server accepts no more connections.
+	served chan struct{}
 }
 
 // listen opens the listeners of all HTTP servers. On an error it closes those
@@ -337,7 +342,7 @@
 			}
 			return nil, fmt.Errorf("listen for %s: %w", servers[i].name, err)
 		}
-		servers[i].listener = l
+		servers[i].listener, servers[i].served = l, make(chan struct{})
 	}
 	return servers, nil
 }
--- a/conductor/lifecycle.go
+++ b/conductor/lifecycle.go
@@ -144,6 +144,8 @@
 	if err := s.listener.Close(); err != nil {
 		c.log.Warn("conductor: listener of callers cannot be closed", zap.Error(err))
 	}
+	// A connection that has just been accepted is not counted before.
+	<-s.served
 	for c.callerConnections.Load() > 0 {
 		if c.clock.Now().After(*c.endsAt.Load()) {
 			return false
