Do not handle a request on a connection that a stop has closed

The instance closes idle connections itself now: a connection is claimed either for closing or for a request, and a request that comes too late for that is not handled. The caller may send it again, as nothing has been read by anybody.

--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -62,23 +62,23 @@
 	leaving atomic.Bool
 	// endsAt is when the remaining requests are cancelled; nil until the instance accepts
 	// no new connections any more.
-	endsAt            atomic.Pointer[time.Time]
-	callerConnections atomic.Int64
-	registered        atomic.Bool
-	tracker           *tracker.Tracker
-	sender            *sender.Sender
-	gossiper          *gossiper.Gossiper
-	receiver          *receiver.Receiver
-	config            *replicator.Replicator
-	targets           *replicator.Replicator
-	outOfService      *replicator.Replicator
-	moves             *replicator.Replicator
-	reader            *replicator.Reader
-	promoter          *promoter.Promoter
-	screener          *screener.Screener
-	decodedTargets    map[string]decodedTarget
-	division          atomic.Pointer[division]
-	transport         *http.Transport
+	endsAt         atomic.Pointer[time.Time]
+	callers        callerConnections
+	registered     atomic.Bool
+	tracker        *tracker.Tracker
+	sender         *sender.Sender
+	gossiper       *gossiper.Gossiper
+	receiver       *receiver.Receiver
+	config         *replicator.Replicator
+	targets        *replicator.Replicator
+	outOfService   *replicator.Replicator
+	moves          *replicator.Replicator
+	reader         *replicator.Reader
+	promoter       *promoter.Promoter
+	screener       *screener.Screener
+	decodedTargets map[string]decodedTarget
+	division       atomic.Pointer[division]
+	transport      *http.Transport
 
 	// requestContext is the base context of all callers' requests. It is cancelled
 	// shortly before the grace period ends.
--- a/conductor/lifecycle.go
+++ b/conductor/lifecycle.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"net"
-	"net/http"
 	"sync"
 	"time"
 
@@ -144,29 +142,17 @@
 	if err := s.listener.Close(); err != nil {
 		c.log.Warn("conductor: listener of callers cannot be closed", zap.Error(err))
 	}
-	// A connection that has just been accepted is not counted before.
+	// A connection that has just been accepted is not known before.
 	<-s.served
-	for c.callerConnections.Load() > 0 {
+	for c.callers.closeIdle(c.clock.Now()) > 0 {
 		if c.clock.Now().After(*c.endsAt.Load()) {
 			return false
 		}
-		// Each call closes the connections that are idle.
-		s.server.SetKeepAlivesEnabled(false)
 		c.clock.Sleep(drainCheckPeriod)
 	}
 	return true
 }
 
-// countConnection counts the connections of callers by their changes of state.
-func (c *Conductor) countConnection(_ net.Conn, state http.ConnState) {
-	switch state {
-	case http.StateNew:
-		c.callerConnections.Add(1)
-	case http.StateClosed, http.StateHijacked:
-		c.callerConnections.Add(-1)
-	}
-}
-
 // deregister removes this instance's entry from the store if it wrote one.
 func (c *Conductor) deregister() {
 	if !c.registered.Load() {
--- a/conductor/serve.go
+++ b/conductor/serve.go
@@ -33,9 +33,12 @@
 
 func (c *Conductor) callerServer() *http.Server {
 	return &http.Server{
-		Handler:           c.receiver,
+		Handler:           c.callers.handle(c.receiver),
 		ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-		ConnContext: receiver.ConnContext, ConnState: c.countConnection,
+		ConnContext: func(ctx context.Context, conn net.Conn) context.Context {
+			return c.callers.add(receiver.ConnContext(ctx, conn), conn, c.clock.Now())
+		},
+		ConnState:   c.callers.observe,
 		BaseContext: func(net.Listener) context.Context { return c.requestContext },
 	}
 }
