Name the reason of a request whose retry had to wait

A retry that waited for what becomes of the request elsewhere and then found no target was given CrashesTargets as its reason, whatever had ended its attempt. It now keeps that attempt. Format and one finding of the linter are mended with it.

--- a/promoter/evidence.go
+++ b/promoter/evidence.go
@@ -226,8 +226,7 @@
 
 // doubt says why a version that was not found bad must not be completed either, or "".
 func (e *evidence) doubt() string {
-	switch {
-	case e.answers() == 0 && e.othersAnswers() >= minOthersAnswers:
+	if e.answers() == 0 && e.othersAnswers() >= minOthersAnswers {
 		return fmt.Sprintf("no answer in time, with the other versions %d", e.othersAnswers())
 	}
 	if route, s := e.greatest(); s.greatest() >= doubtEvidence {
--- a/screener/screener_test.go
+++ b/screener/screener_test.go
@@ -397,8 +397,12 @@
 		s := newScreener(clock)
 		key := make([]byte, keyBytes)
 		s.Merge([]*wire.Screening{
-			nil, {Key: key[:3], ExpiresMs: 1000}, {Key: key, ExpiresMs: -5}, {Key: key, ExpiresMs: 1 << 62},
-			{Key: key, ExpiresMs: 1000, Blocks: -1}, {Key: key, ExpiresMs: 1000, BlockedMs: 1 << 61},
+			nil,
+			{Key: key[:3], ExpiresMs: 1000},
+			{Key: key, ExpiresMs: -5},
+			{Key: key, ExpiresMs: 1 << 62},
+			{Key: key, ExpiresMs: 1000, Blocks: -1},
+			{Key: key, ExpiresMs: 1000, BlockedMs: 1 << 61},
 		})
 		So(s.known.Load(), ShouldEqual, 0)
 	})
--- a/sender/run.go
+++ b/sender/run.go
@@ -38,8 +38,8 @@
 	// mayHaveRun is set once a target may have run the request without a usable
 	// answer.
 	mayHaveRun bool
-	// repeatWaits is set while a retry waits for what becomes of the request elsewhere.
-	repeatWaits bool
+	// waiting is the attempt whose retry waits for what becomes of the request elsewhere.
+	waiting *completion
 	// failure is a 5xx answer of a target, which is used if no other attempt
 	// gets a better one.
 	failure *completion
@@ -72,7 +72,7 @@
 	defer hedge.Stop()
 	var repeat <-chan time.Time
 	for {
-		if r.repeatWaits && repeat == nil {
+		if r.waiting != nil && repeat == nil {
 			repeat = r.sender.settings.Clock.After(repeatCheckPeriod)
 		}
 		select {
@@ -83,7 +83,10 @@
 			}
 		case <-repeat:
 			repeat = nil
-			if result, done := r.retry(nil); done {
+			if r.waiting == nil {
+				continue
+			}
+			if result, done := r.retry(r.waiting); done {
 				return result
 			}
 		case <-hedge.C:
@@ -354,15 +357,12 @@
 	return r.retry(c)
 }
 
-// retry sends the request again after the completion of an attempt, or after a retry
-// has waited if c is nil. If it must not be sent again and no attempt is left, it
-// returns the result of the call and true.
+// retry sends the request again after the completion of an attempt, or waits with it.
+// If it must not be sent again and no attempt is left, it returns the result of the call
+// and true.
 func (r *callState) retry(c *completion) (CallResult, bool) {
-	r.repeatWaits = false
-	reason := jujubegate.CrashesTargets
-	if c != nil {
-		reason = reasonOf(c)
-	}
+	r.waiting = nil
+	reason := reasonOf(c)
 	if r.mayRetry() {
 		switch r.call.Run.Repeat() {
 		case screener.Allowed:
@@ -370,7 +370,7 @@
 				return CallResult{}, false
 			}
 		case screener.Wait:
-			r.repeatWaits = true
+			r.waiting = c
 			return CallResult{}, false
 		case screener.Never:
 			reason = jujubegate.CrashesTargets
