Try a suspected query at further shards if one has no target

A query that is suspected of crashing its targets goes to its first shard alone. If that shard had no target at the time, the query was refused although the others could answer it. It now goes from shard to shard until one answers or a target ends.

--- a/gatherer/gatherer.go
+++ b/gatherer/gatherer.go
@@ -122,18 +122,17 @@
 		results <- &shardResult{i, g.settings.Send(ctx, sender.Call{Request: q.Request, Route: q.Route, Service: shards[i], Due: q.Due, Run: q.Run})}
 	}
 	q.Run.Share()
-	first := 0
-	if q.Run.Cautious() {
-		// The query may crash its targets, and goes to the others once one has answered.
-		if send(0); !q.Run.Answered() {
-			r := <-results
+	sent := 0
+	// A query that may crash its targets goes to all shards once one has answered.
+	for ; q.Run.Cautious() && !q.Run.Answered() && sent < len(shards); sent++ {
+		send(sent)
+		if q.Run.Suspected() {
 			cancel(connector.ErrAbandoned)
-			return Result{Outcome: r.result.Outcome, Reason: r.result.Reason, RetryAfter: r.result.RetryAfter, MissingCount: len(shards), DecidedAt: g.settings.Clock.Now()}
+			return Result{Outcome: jujubegate.Unknown, Reason: jujubegate.CrashesTargets, MissingCount: len(shards), DecidedAt: g.settings.Clock.Now()}
 		}
-		first = 1
 	}
-	for i := first; i < len(shards); i++ {
-		go send(i)
+	for ; sent < len(shards); sent++ {
+		go send(sent)
 	}
 	s := &queryState{
 		query: q, top: NewTop(q.Route.Gather.Top), signatures: make(map[string]struct{}, len(shards)),
--- a/gatherer/screened_test.go
+++ b/gatherer/screened_test.go
@@ -25,11 +25,15 @@
 	cases := []struct {
 		name    string
 		answers bool
+		// down is the number of shards without a target.
+		down    int
 		sent    int
 		outcome jujubegate.Outcome
 	}{
-		{"its first target ends", false, 1, jujubegate.Unknown},
-		{"its first target answers", true, shardCount, jujubegate.Ran},
+		{"its first target ends", false, 0, 1, jujubegate.Unknown},
+		{"its first target answers", true, 0, shardCount, jujubegate.Ran},
+		{"the first shard is down, a target answers", true, 1, shardCount, jujubegate.Ran},
+		{"the first shard is down, a target ends", false, 1, 2, jujubegate.Unknown},
 	}
 	Convey("A suspected query", t, func() {
 		for _, c := range cases {
@@ -54,6 +58,9 @@
 						mu.Lock()
 						defer mu.Unlock()
 						sent++
+						if int(call.Service[0]-'a') < c.down {
+							return sender.CallResult{Reason: jujubegate.NoCoverage, Outcome: jujubegate.NotRun}
+						}
 						call.Run.BeginAttempt(string(call.Service))
 						if !c.answers {
 							s.RecordEnd(string(call.Service))
--- a/screener/run.go
+++ b/screener/run.go
@@ -72,6 +72,9 @@
 // Answered reports whether a target has answered the request.
 func (r *Run) Answered() bool { return r != nil && r.answered.Load() }
 
+// Suspected reports whether a target has ended while it had the request.
+func (r *Run) Suspected() bool { return r != nil && r.suspected.Load() }
+
 // BeginAttempt records that a target gets the request.
 func (r *Run) BeginAttempt(target string) {
 	if r == nil {
