Read the requests of the asker's fake instances under their lock

Cause: the test read the requests of a fake instance without the lock of its handler. Most answers order both through the connection; the paused instance sends none.

Ruled out: a race in the asker itself. Both stacks of the report are in the test, the read on the line that looks at first.requests and the write in the handler.

Change: the test reads copies under the lock. The checks are the same.

--- a/asker/asker_test.go
+++ b/asker/asker_test.go
@@ -33,6 +33,13 @@
 	return i
 }
 
+// received returns the requests so far.
+func (i *fakeInstance) received() []OrderRequest {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return append([]OrderRequest(nil), i.requests...)
+}
+
 func (i *fakeInstance) hostPort() string { return strings.TrimPrefix(i.URL, "http://") }
 
 func (i *fakeInstance) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -95,12 +102,13 @@
 				defer cancel()
 				_, err := a.Order(ctx, OrderRequest{ID: "id", First: true})
 				So(err != nil, ShouldEqual, c.fails)
-				So(second.requests, ShouldHaveLength, c.attempts)
+				atFirst, atSecond := first.received(), second.received()
+				So(atSecond, ShouldHaveLength, c.attempts)
 				if c.attempts > 0 {
-					So(second.requests[0].First, ShouldEqual, c.wantFirst)
-					So(second.requests[0].ID, ShouldEqual, "id")
+					So(atSecond[0].First, ShouldEqual, c.wantFirst)
+					So(atSecond[0].ID, ShouldEqual, "id")
 				}
-				So(first.requests[0].First, ShouldBeTrue)
+				So(atFirst[0].First, ShouldBeTrue)
 			})
 		}
 	})
