Close the listener of a crashing fake target before its connection

Cause: the fake target told another goroutine to close its listener and then closed its connection. If the sender asked for a new connection in between, it got one, so the target had not ended and the retry was right. A process that ends cannot accept any more.

Change: the fake target closes its listener first, and the test waits for its goroutine. The checks are the same.

--- a/sender/screened_test.go
+++ b/sender/screened_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"testing"
 	"time"
 
@@ -37,19 +38,25 @@
 		t.Run(c.name, func(t *testing.T) {
 			s := screener.New(screener.Settings{Clock: clockwork.NewRealClock(), Log: zap.NewNop()})
 			crash := make(chan struct{})
-			f := newFixture(t, 50, func(string) string { close(crash); return "" }, ok)
+			var f *fixture
+			f = newFixture(t, 50, func(string) string {
+				// An ended process refuses new connections when its last ones close.
+				f.listeners[0].Close()
+				close(crash)
+				return ""
+			}, ok)
 			run, _ := s.Begin("1", func() screener.Key { return screener.Key{} })
 			run.BeginAttempt("z")
-			go func() {
+			var elsewhere sync.WaitGroup
+			elsewhere.Go(func() {
 				<-crash
-				f.listeners[0].Close()
 				time.Sleep(60 * ms)
 				if got := f.runs[1].Load(); got > 0 {
 					t.Errorf("%d retries before it was known what becomes of the request elsewhere", got)
 				}
 				c.elsewhere(s, run)
 				run.EndAttempt()
-			}()
+			})
 			request := &connector.Request{ID: "id", Method: "GET", URI: "/", Host: "h", Deadline: time.Now().Add(time.Second)}
 			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 			defer cancel()
@@ -66,6 +73,7 @@
 				}
 			}
 			result := call.loop()
+			elsewhere.Wait()
 			if result.OK != c.answered {
 				t.Errorf("answered %v, want %v", result.OK, c.answered)
 			}
