Count only permitted requests as ones at a target that returns from a pause

What callers saw: a target that names a limit and asks for a pause got one request after the pause and then none for good from that instance.

Cause: after a pause a target is approached by a number of requests at once. A request was counted when the pause allowed it, before the limit was asked; one that the limit withheld is never sent and never ends, so that its place stayed taken.

Ruled out: places that are lost in other ways. The connector asks for the permission once per request, and the end of each permitted one is recorded.

Change: the limit is asked first, and the request is counted after both allow it.

Before: TestLimitKeepsTargetOutAfterItsPause got 0 requests one second after the first answer, want 1. After: it passes. Found while writing the tests of pause and limit together.

--- a/tracker/limit.go
+++ b/tracker/limit.go
@@ -187,23 +187,30 @@
 // It is asked when the request has a connection, since the target can name a limit
 // while the request waits for one. Repeat is set for a hedge or a retry.
 func (r *Replica) Permit(now time.Time, repeat bool) bool {
-	if !r.permitPaused(now) {
-		return false
-	}
-	if !r.limited.Load() {
+	if !r.paused.Load() && !r.limited.Load() {
 		return true
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.pause != nil && r.pause.delay(now) > 0 || r.limit != nil && !r.limit.take(now, repeat) {
+		return false
+	}
+	if r.pause != nil {
+		r.pause.sent++
+	}
+	return true
+}
+
+// take takes a token for a request and counts it.
+func (l *namedLimit) take(now time.Time, repeat bool) bool {
 	switch {
-	case r.limit == nil:
-	case !r.limit.bucket.AllowN(now, 1):
-		r.limit.counts.Withheld++
+	case !l.bucket.AllowN(now, 1):
+		l.counts.Withheld++
 		return false
 	case repeat:
-		r.limit.counts.Repeats++
+		l.counts.Repeats++
 	default:
-		r.limit.counts.First++
+		l.counts.First++
 	}
 	return true
 }
--- a/tracker/pause.go
+++ b/tracker/pause.go
@@ -75,24 +75,6 @@
 	}
 }
 
-// permitPaused reports whether a request may be written to the target because of its
-// pause.
-func (r *Replica) permitPaused(now time.Time) bool {
-	if !r.paused.Load() {
-		return true
-	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	switch {
-	case r.pause == nil:
-		return true
-	case r.pause.delay(now) > 0:
-		return false
-	}
-	r.pause.sent++
-	return true
-}
-
 // ObservePause records the pause that a target asks for in an answer.
 func (t *Tracker) ObservePause(r *Replica, p connector.Pause) {
 	target := []zap.Field{zap.String("Target", r.Entry().ID), zap.String("Service", string(r.Entry().Service))}
--- a/tracker/pause_test.go
+++ b/tracker/pause_test.go
@@ -55,3 +55,36 @@
 		So(r.MayHedge(clock.Now()), ShouldBeTrue)
 	})
 }
+
+func TestLimitKeepsTargetOutAfterItsPause(t *testing.T) {
+	// Guards against a request that the pause allows and the named limit withholds: it
+	// never ends, so that it must not count as one at the target.
+	clock := clockwork.NewFakeClock()
+	tr := newTracker(clock)
+	tr.share = 0.5
+	tr.Update([]Entry{entry(1)}, ago(clock, 0))
+	r := tr.Replicas("s")[0]
+	tr.ObserveLimit(r, connector.Limit{Named: true, Valid: true, PerSecond: 2}, clock.Now())
+	tr.ObservePause(r, connector.Pause{Asked: true, Valid: true, For: 3 * time.Second})
+	permitted := func() int {
+		n := 0
+		for range 10 {
+			if r.Permit(clock.Now(), false) {
+				n++
+			}
+		}
+		return n
+	}
+	Convey("A target with a limit of one request a second that has asked for a pause", t, func() {
+		So(permitted(), ShouldEqual, 0)
+		clock.Advance(3 * time.Second)
+		So(permitted(), ShouldEqual, 1)
+		r.EndPermitted(clock.Now(), true)
+		So(permitted(), ShouldEqual, 0)
+		clock.Advance(time.Second)
+		So(permitted(), ShouldEqual, 1)
+		r.EndPermitted(clock.Now(), true)
+		clock.Advance(time.Second)
+		So(permitted(), ShouldEqual, 1)
+	})
+}
