Keep the pause of a target whose range or version changes

What a target saw: one that had asked for a pause and is listed with another range of keys or another version, without a restart, got requests at once.

Cause: such an entry replaces the target, and its pause went with the old one.

Ruled out, each a case of the test: a cold start, a named limit that ends, an evacuation of the data centre, and failures that eject the target leave the pause as it is.

Change: the new one takes the pause over if the process is the same. After a restart there is no pause.

Before: the case "it is listed with another range and version" of TestPauseEndsWithChangeOfTarget got a request 2 s into a pause of 3 s. After: it passes.

--- a/tracker/pause.go
+++ b/tracker/pause.go
@@ -53,6 +53,19 @@
 	return began
 }
 
+// inheritPause takes over the pause that the process of an earlier replica asked for.
+func (r *Replica) inheritPause(earlier *Replica) {
+	earlier.mu.Lock()
+	defer earlier.mu.Unlock()
+	if earlier.pause == nil {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.pause = &pause{until: earlier.pause.until, allowed: 1}
+	r.paused.Store(true)
+}
+
 // EndPermitted records the end of an attempt that Permit has permitted. An answer after
 // a pause lets twice as many requests at the target.
 func (r *Replica) EndPermitted(now time.Time, answered bool) {
--- a/tracker/pause_test.go
+++ b/tracker/pause_test.go
@@ -7,6 +7,8 @@
 	"github.com/jonboulle/clockwork"
 	. "github.com/smartystreets/goconvey/convey"
 
+	"jujubegate.example/jujubegate"
+	"jujubegate.example/jujubegate/balancer"
 	"jujubegate.example/jujubegate/connector"
 )
 
@@ -88,3 +90,62 @@
 		So(permitted(), ShouldEqual, 1)
 	})
 }
+
+func TestPauseEndsWithChangeOfTarget(t *testing.T) {
+	// Guards against requests to a paused target because something else about it changes
+	// or holds requests back too.
+	cold := entry(1)
+	cold.ColdFor = 5 * time.Second
+	moved := entry(1)
+	moved.Service, moved.Version = "s2", "v2"
+	restarted := entry(1)
+	restarted.Started++
+	cases := []struct {
+		name   string
+		change func(clock *clockwork.FakeClock, tr *Tracker, r *Replica)
+		want   bool
+	}{
+		{"nothing", func(*clockwork.FakeClock, *Tracker, *Replica) {}, false},
+		{"it is listed as cold", func(clock *clockwork.FakeClock, tr *Tracker, _ *Replica) {
+			tr.Update([]Entry{cold}, ago(clock, 0))
+		}, false},
+		{"it is listed with another range and version", func(clock *clockwork.FakeClock, tr *Tracker, _ *Replica) {
+			tr.Update([]Entry{moved}, ago(clock, 0))
+		}, false},
+		{"it names a limit, which ends", func(clock *clockwork.FakeClock, tr *Tracker, r *Replica) {
+			tr.ObserveLimit(r, connector.Limit{Named: true, Valid: true, PerSecond: 100}, clock.Now())
+			tr.ObserveLimit(r, connector.Limit{}, clock.Now().Add(time.Second))
+		}, false},
+		{"its data centre is evacuated and returns", func(clock *clockwork.FakeClock, tr *Tracker, r *Replica) {
+			tr.SetOutOfService(jujubegate.Set[jujubegate.DataCentre]{}.With(r.Entry().DataCentre))
+			tr.SetOutOfService(jujubegate.Set[jujubegate.DataCentre]{})
+		}, false},
+		{"it fails answers", func(clock *clockwork.FakeClock, _ *Tracker, r *Replica) {
+			for range 20 {
+				r.Begin(clock.Now())
+				r.Done(clock.Now(), balancer.Failed, time.Millisecond)
+			}
+		}, false},
+		{"it starts again", func(clock *clockwork.FakeClock, tr *Tracker, _ *Replica) {
+			tr.Update([]Entry{restarted}, ago(clock, 0))
+		}, true},
+	}
+	Convey("A paused target", t, func() {
+		for _, c := range cases {
+			Convey(c.name, func() {
+				clock := clockwork.NewFakeClock()
+				tr := newTracker(clock)
+				tr.share = 1
+				tr.Update([]Entry{entry(1)}, ago(clock, 0))
+				r := tr.Replicas("s")[0]
+				tr.ObservePause(r, connector.Pause{Asked: true, Valid: true, For: 3 * time.Second})
+				c.change(clock, tr, r)
+				clock.Advance(2 * time.Second)
+				list := append(tr.Replicas("s"), tr.Replicas("s2")...)
+				So(list, ShouldHaveLength, 1)
+				now := clock.Now()
+				So(list[0].Admissible(now) && list[0].Permit(now, false), ShouldEqual, c.want)
+			})
+		}
+	})
+}
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -194,13 +194,17 @@
 		// A late entry of an earlier incarnation.
 		return
 	}
+	var earlier *Replica
 	if r != nil && !r.Entry().sameIncarnation(e) {
 		t.remove(e.ID, r, "restarted")
-		r = nil
+		earlier, r = r, nil
 	}
 	if r == nil {
 		r = &Replica{Pool: t.settings.NewPool(e, t.connectionBound(e.Service)), Stats: balancer.NewReplica(e.Address)}
 		r.entry.Store(&e)
+		if earlier != nil && earlier.Entry().Started == e.Started {
+			r.inheritPause(earlier)
+		}
 		t.replicas[e.ID] = r
 		t.settings.Log.Info("tracker: target added", zap.String("Target", e.ID), zap.String("Address", string(e.Address)),
 			zap.String("Service", string(e.Service)), zap.String("DataCentre", string(e.DataCentre)),
