Test that missing old targets leave the share of a new version as it is

No fault was found: a guard for targets of the old version that leave, ask for a pause, shed, fail, drop connections or name a limit in a move. Each case passes on the code before it.

--- a/sender/candidates_test.go
+++ b/sender/candidates_test.go
@@ -131,3 +131,54 @@
 		t.Errorf("observed %q after %v at the new version, want its answer with the time that it took", o.Result, o.Took)
 	}
 }
+
+func TestMissingOldVersionRaisesShareOfNewOne(t *testing.T) {
+	// Guards against a new version that gets the requests of old targets which leave, ask
+	// for a pause, fail or name a limit.
+	const (
+		calls, share = 600, 0.1
+		// allowance is how many requests more than its share a new version may get.
+		allowance = 50
+	)
+	cases := []struct {
+		name  string
+		old   behaviour
+		begin func(tr *tracker.Tracker, r *tracker.Replica)
+	}{
+		{"the old ones leave", ok, func(tr *tracker.Tracker, r *tracker.Replica) { tr.ObserveLeaving(r) }},
+		{"the old ones ask for a pause", ok, func(tr *tracker.Tracker, r *tracker.Replica) {
+			tr.ObservePause(r, connector.Pause{Asked: true, Valid: true, For: time.Hour})
+		}},
+		{"the old ones shed their load", shedding, nil},
+		{"the old ones fail", failing, nil},
+		{"the old ones drop connections", dropConnection, nil},
+		{"the old ones name a limit", ok, func(tr *tracker.Tracker, r *tracker.Replica) {
+			tr.ObserveLimit(r, connector.Limit{Named: true, Valid: true, PerSecond: 0.001}, time.Now())
+		}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			f := newFixture(t, 50, c.old, c.old, ok)
+			f.withVersions("v1", "v1", "v2")
+			f.sender.settings.Plan = func(jujubegate.Service) promoter.Plan { return promoter.Plan{Version: "v2", Share: share} }
+			for _, r := range f.sender.settings.Tracker.Replicas(service) {
+				if c.begin != nil && r.Entry().Version == "v1" {
+					c.begin(f.sender.settings.Tracker, r)
+				}
+			}
+			answered := 0
+			for range calls {
+				if f.call().OK {
+					answered++
+				}
+			}
+			n := f.runs[2].Load()
+			if n > share*calls+allowance {
+				t.Errorf("%d of %d calls reached the new version, want at most %v", n, calls, share*calls+allowance)
+			}
+			if n == 0 || answered < int(n) {
+				t.Errorf("%d calls reached the new version and %d were answered, want its share", n, answered)
+			}
+		})
+	}
+}
