Count departures and pauses that targets tell

Operators could see how many targets leave or pause now, but not whether any did since.

Change: counters DeparturesSeen, PausesAsked and PausesUnreadable on the metrics address; the three counts of targets share one loop. GaugeFunc becomes ValueFunc, since it publishes counters too. The tests of pauses and of departures check the values.

--- a/assembler/status.go
+++ b/assembler/status.go
@@ -161,6 +161,6 @@
 			return 0
 		}},
 	} {
-		d.recorder.GaugeFunc(g.metric, g.value)
+		d.recorder.ValueFunc(g.metric, g.value)
 	}
 }
--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -159,12 +159,15 @@
 		Table: c.table.Load, Current: c.configurationCurrent, Leaving: c.leaving.Load, EndsAt: c.endsAt.Load, Memory: memory, Estimator: estimator.New(clock), Screener: c.screener,
 		Send: c.sender.Send, Gather: gather.Gather,
 	})
-	rec.GaugeFunc(recorder.TargetsKnown, func() int64 { return int64(c.tracker.UsableCount()) })
-	rec.GaugeFunc(recorder.TargetsLimited, func() int64 { return int64(c.tracker.LimitedCount()) })
-	rec.GaugeFunc(recorder.TargetsLeaving, func() int64 { return int64(c.tracker.LeavingCount()) })
-	rec.GaugeFunc(recorder.TargetsPaused, func() int64 { return int64(c.tracker.PausedCount()) })
-	rec.GaugeFunc(recorder.RequestsBlocked, func() int64 { return int64(c.screener.BlockedCount()) })
-	rec.GaugeFunc(recorder.InstancesKnown, func() int64 { return int64(c.countInstances()) })
+	rec.ValueFunc(recorder.TargetsKnown, func() int64 { return int64(c.tracker.UsableCount()) })
+	rec.ValueFunc(recorder.TargetsLimited, func() int64 { return int64(c.tracker.LimitedCount()) })
+	rec.ValueFunc(recorder.TargetsLeaving, func() int64 { return int64(c.tracker.LeavingCount()) })
+	rec.ValueFunc(recorder.TargetsPaused, func() int64 { return int64(c.tracker.PausedCount()) })
+	rec.ValueFunc(recorder.DeparturesSeen, c.tracker.DeparturesSeen)
+	rec.ValueFunc(recorder.PausesAsked, c.tracker.PausesAsked)
+	rec.ValueFunc(recorder.PausesUnreadable, c.tracker.PausesUnreadable)
+	rec.ValueFunc(recorder.RequestsBlocked, func() int64 { return int64(c.screener.BlockedCount()) })
+	rec.ValueFunc(recorder.InstancesKnown, func() int64 { return int64(c.countInstances()) })
 	return c
 }
 
--- a/recorder/metric.go
+++ b/recorder/metric.go
@@ -60,6 +60,9 @@
 	TargetsLimited     = Metric{"TargetsLimited", KindGauge, "targets", "targets that name a limit in their answers"}
 	TargetsLeaving     = Metric{"TargetsLeaving", KindGauge, "targets", "listed targets that have said in an answer that they leave"}
 	TargetsPaused      = Metric{"TargetsPaused", KindGauge, "targets", "targets that have asked this instance for a pause, or return from one"}
+	DeparturesSeen     = Metric{"DeparturesSeen", KindCounter, "targets", "targets that have said in an answer, to this instance or another one, that they leave"}
+	PausesAsked        = Metric{"PausesAsked", KindCounter, "pauses", "pauses that targets have asked this instance for"}
+	PausesUnreadable   = Metric{"PausesUnreadable", KindCounter, "answers", "answers that ask for a pause which cannot be read"}
 	RequestsBlocked    = Metric{"RequestsBlocked", KindGauge, "requests", "requests, by their content, that are blocked because they crash targets"}
 	InstancesKnown     = Metric{"InstancesKnown", KindGauge, "instances", "live instances, this one included"}
 	StoreCalls         = Metric{"StoreCalls", KindCounter, "calls", "calls to the platform's store"}
@@ -74,7 +77,8 @@
 	TargetLatency, TargetsOwned, Orders, OrdersUnknown,
 	Generation, Epoch, Serving,
 	Forwarded, ForwardedAnswered, ForwardedPartial, ForwardedRefused, ForwardedFailed, ForwardedLatency,
-	ConnectionsOpened, TargetBytes, TargetBytesFar, PeerBytes, PeerBytesFar, ConfigurationInUse, TargetsKnown, TargetsLimited, TargetsLeaving, TargetsPaused, RequestsBlocked, InstancesKnown,
+	ConnectionsOpened, TargetBytes, TargetBytesFar, PeerBytes, PeerBytesFar, ConfigurationInUse, TargetsKnown, TargetsLimited, TargetsLeaving, TargetsPaused,
+	DeparturesSeen, PausesAsked, PausesUnreadable, RequestsBlocked, InstancesKnown,
 	StoreCalls, StoreFailures, LogLinesDropped,
 }
 
--- a/recorder/recorder.go
+++ b/recorder/recorder.go
@@ -55,9 +55,9 @@
 	return register(r, m, KindGauge, func() *Gauge { return new(Gauge) })
 }
 
-// GaugeFunc publishes a gauge whose value is computed when it is read. It
+// ValueFunc publishes a metric whose value is computed when it is read. It
 // replaces an earlier function of the same metric.
-func (r *Recorder) GaugeFunc(m Metric, value func() int64) {
+func (r *Recorder) ValueFunc(m Metric, value func() int64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	f := expvar.Func(func() any { return value() })
--- a/recorder/recorder_test.go
+++ b/recorder/recorder_test.go
@@ -41,7 +41,7 @@
 	Convey("Metrics recorded by several goroutines are published", t, func() {
 		r := New(zap.NewNop(), false)
 		counter, gauge, latency := r.Counter(Queries), r.Gauge(Epoch), r.Histogram(QueryLatency)
-		r.GaugeFunc(Serving, func() int64 { return 1 })
+		r.ValueFunc(Serving, func() int64 { return 1 })
 		var wg sync.WaitGroup
 		for range 8 {
 			wg.Go(func() {
--- a/tracker/leaving.go
+++ b/tracker/leaving.go
@@ -55,6 +55,7 @@
 	}
 	t.forgetDepartures(now)
 	t.departures[id] = d
+	t.counters.departures.Add(1)
 	t.settings.Log.Info("tracker: target says that it leaves", zap.String("Target", id), zap.Int64("Started", d.started),
 		zap.Duration("Ago", now.Sub(d.saidAt)))
 	return true
@@ -123,16 +124,3 @@
 	d, ok := t.departures[e.ID]
 	return d, ok && d.started == e.Started
 }
-
-// LeavingCount returns the number of targets that have said that they leave.
-func (t *Tracker) LeavingCount() int {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	n := 0
-	for _, r := range t.replicas {
-		if _, ok := t.departureOf(r.Entry()); ok {
-			n++
-		}
-	}
-	return n
-}
--- a/tracker/leaving_test.go
+++ b/tracker/leaving_test.go
@@ -37,6 +37,7 @@
 					}
 				}
 				So(len(tr.Replicas("s")), ShouldEqual, 1)
+				So(tr.DeparturesSeen(), ShouldEqual, 1)
 				for _, list := range c.lists {
 					clock.Advance(c.pause)
 					tr.Update(list, ago(clock, 0))
--- a/tracker/limit.go
+++ b/tracker/limit.go
@@ -299,16 +299,3 @@
 			zap.Int("Repeats", l.counts.Repeats), zap.Int("Withheld", l.counts.Withheld), zap.Duration("Period", period))
 	}
 }
-
-// LimitedCount returns the number of targets that name a limit.
-func (t *Tracker) LimitedCount() int {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	n := 0
-	for _, r := range t.replicas {
-		if r.limited.Load() {
-			n++
-		}
-	}
-	return n
-}
--- a/tracker/pause.go
+++ b/tracker/pause.go
@@ -93,22 +93,10 @@
 	target := []zap.Field{zap.String("Target", r.Entry().ID), zap.String("Service", string(r.Entry().Service))}
 	switch now := t.settings.Clock.Now(); {
 	case !p.Valid:
+		t.counters.pausesUnreadable.Add(1)
 		t.settings.Log.Warn("tracker: pause that the target asks for cannot be read", target...)
 	case p.For > 0 && r.observePause(p.For, now):
+		t.counters.pauses.Add(1)
 		t.settings.Log.Info("tracker: target asks for a pause", append(target, zap.Duration("For", p.For))...)
 	}
 }
-
-// PausedCount returns the number of targets that have asked for a pause or return from
-// one.
-func (t *Tracker) PausedCount() int {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	n := 0
-	for _, r := range t.replicas {
-		if r.paused.Load() {
-			n++
-		}
-	}
-	return n
-}
--- a/tracker/pause_test.go
+++ b/tracker/pause_test.go
@@ -54,6 +54,8 @@
 		}
 		So(permitted(), ShouldEqual, 10*maxReturning)
 		So(tr.PausedCount(), ShouldEqual, 0)
+		tr.ObservePause(r, connector.Pause{Asked: true})
+		So([]int64{tr.PausesAsked(), tr.PausesUnreadable()}, ShouldResemble, []int64{1, 1})
 		So(r.MayHedge(clock.Now()), ShouldBeTrue)
 	})
 }
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -65,6 +65,7 @@
 	idleTimeout time.Duration
 	// departures holds what targets have said about their leaving, by ID.
 	departures map[string]departure
+	counters   counters
 	// limitsReportedAt is when reportLimits last logged.
 	limitsReportedAt time.Time
 }
