Confirm other kinds by the read of the watched one only

What targets may see: requests later than the drain time after they left the list.

Cause of such a confirmation: after a watch of the configuration the reader took its revision together with the time of the latest confirmation. A peer can have confirmed the configuration while the answer was on its way, so that an old revision came with a newer time, and the targets counted as unchanged up to then. It takes two readers at the same time, as while the store is cut off from some instances. The class: two values that are read from shared state although they belong to one answer.

Ruled out, by reading: ages in exchanges and fetches are taken before the objects that they go with, and count from when the call was sent; positions and ages of a message are taken under one lock.

Change: a read returns the position and the time of its own answer, and both are passed on.

TestConfirmationIsNewerThanItsRead: before, the other kind counted as confirmed 0 s ago, 150 ms after the answer; after, it passes.

--- a/replicator/era_test.go
+++ b/replicator/era_test.go
@@ -149,7 +149,7 @@
 				},
 			})
 			r.Replace(listing(2, 5, object("a", 5, 1)), Reading{At: time.Now()})
-			if err := r.read(t.Context(), watchWait, 0); !errors.Is(err, ErrOutdated) {
+			if _, err := r.read(t.Context(), watchWait, 0); !errors.Is(err, ErrOutdated) {
 				t.Fatalf("%s: error %v, want that the answer is outdated", c.name, err)
 			}
 			calls.Store(0)
--- a/replicator/reader.go
+++ b/replicator/reader.go
@@ -91,15 +91,15 @@
 
 // read watches the lead, then reads the other kinds that may have changed.
 func (rd *Reader) read(ctx context.Context) error {
-	if err := rd.lead.read(ctx, watchWait, 0); err != nil {
+	read, err := rd.lead.read(ctx, watchWait, 0)
+	if err != nil {
 		return fmt.Errorf("read %s: %w", rd.lead.Kind(), err)
 	}
-	position, at := rd.lead.position()
 	for _, r := range rd.others {
-		if r.confirmAt(position, at) || r.withinPause() {
+		if r.confirmWith(read) || r.withinPause() {
 			continue
 		}
-		if err := r.read(ctx, followWait, position.Era); err != nil {
+		if _, err := r.read(ctx, followWait, read.Era); err != nil {
 			return fmt.Errorf("read %s: %w", r.Kind(), err)
 		}
 	}
--- a/replicator/reader_test.go
+++ b/replicator/reader_test.go
@@ -154,3 +154,35 @@
 		<-done
 	})
 }
+
+func TestConfirmationIsNewerThanItsRead(t *testing.T) {
+	// Guards against a slow answer of the store that counts as one of a later time, because
+	// a peer has confirmed the watched kind meanwhile: another kind may have changed since.
+	synctest.Test(t, func(t *testing.T) {
+		const delay = 150 * time.Millisecond
+		store := newFakeStore()
+		source := store.source()
+		lead, follower := newReplicator(source), newReplicator(source)
+		lead.settings.Kind, follower.settings.Kind = "lead", "follower"
+		reader := NewReader(lead.settings.Clock, func() time.Duration { return 0 }, lead, follower)
+		if err := reader.read(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		var answeredAt time.Time
+		lead.settings.Source.Watch = func(ctx context.Context, kind string, after int64, wait time.Duration) (Changes, error) {
+			c, err := source.Watch(ctx, kind, after, wait)
+			answeredAt = time.Now()
+			time.Sleep(delay / 2)
+			store.change("follower")
+			time.Sleep(delay / 2)
+			lead.Confirm(lead.Position(), time.Now())
+			return c, err
+		}
+		if err := reader.read(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		if age, sinceAnswer := follower.Age(), time.Since(answeredAt); age < sinceAnswer {
+			t.Errorf("the follower was confirmed %v ago, want at least the %v since the store's answer", age, sinceAnswer)
+		}
+	})
+}
--- a/replicator/replicator.go
+++ b/replicator/replicator.go
@@ -179,48 +179,58 @@
 // Failing reports whether this instance's last call to the store failed.
 func (r *Replicator) Failing() bool { return r.failing.Load() }
 
+// confirmation says that the store was at a position at the given time or later.
+type confirmation struct {
+	Position
+	at time.Time
+}
+
 // read makes one billed call: a watch that waits at most the given time for changes,
 // or a listing if there is no state in the store's era yet. If the store no longer
-// holds the history or has begun another era, a listing follows the watch.
-func (r *Replicator) read(ctx context.Context, wait time.Duration, era int64) error {
+// holds the history or has begun another era, a listing follows the watch. It returns
+// what the answer says about the store.
+func (r *Replicator) read(ctx context.Context, wait time.Duration, era int64) (confirmation, error) {
 	defer r.recordRead()
-	if p, _ := r.position(); p.Revision > 0 && era <= p.Era {
-		done, err := r.watch(ctx, p, wait)
+	if p := r.position(); p.Revision > 0 && era <= p.Era {
+		read, done, err := r.watch(ctx, p, wait)
 		if done || err != nil {
-			return err
+			return read, err
 		}
 	}
 	reading := Reading{At: r.settings.Clock.Now()}
 	l, err := r.settings.Source.List(ctx, r.settings.Kind)
 	if err != nil {
-		return err
+		return confirmation{}, err
 	}
-	if own := r.Position(); l.Position.withDefaultEra(own.Era).Before(own) {
-		return fmt.Errorf("%w: listing at era %d, revision %d, and the state is at era %d, revision %d", ErrOutdated, l.Era, l.Revision, own.Era, own.Revision)
+	own := r.Position()
+	position := l.Position.withDefaultEra(own.Era)
+	if position.Before(own) {
+		return confirmation{}, fmt.Errorf("%w: listing at era %d, revision %d, and the state is at era %d, revision %d", ErrOutdated, l.Era, l.Revision, own.Era, own.Revision)
 	}
 	r.Replace(l, reading)
-	return nil
+	return confirmation{position, reading.At}, nil
 }
 
 // watch watches the store from a position and applies the changes. It returns false
 // if the kind must be listed.
-func (r *Replicator) watch(ctx context.Context, from Position, wait time.Duration) (done bool, err error) {
+func (r *Replicator) watch(ctx context.Context, from Position, wait time.Duration) (read confirmation, done bool, err error) {
 	reading := Reading{At: r.settings.Clock.Now()}
 	c, err := r.settings.Source.Watch(ctx, r.settings.Kind, from.Revision, wait)
-	switch era := c.Position.withDefaultEra(from.Era).Era; {
+	position := c.Position.withDefaultEra(from.Era)
+	switch era := position.Era; {
 	case errors.Is(err, ErrHistoryGone):
 		r.settings.Log.Info("replicator: store no longer holds the history, listing all objects", zap.String("Kind", r.settings.Kind), zap.Int64("Revision", from.Revision))
-		return false, nil
+		return confirmation{}, false, nil
 	case err != nil:
-		return false, err
+		return confirmation{}, false, err
 	case era > from.Era:
 		// The revision from which it was watched is another one in this era.
-		return false, nil
+		return confirmation{}, false, nil
 	case era < from.Era:
-		return false, fmt.Errorf("%w: changes of era %d, and the state is of era %d", ErrOutdated, era, from.Era)
+		return confirmation{}, false, fmt.Errorf("%w: changes of era %d, and the state is of era %d", ErrOutdated, era, from.Era)
 	}
 	r.Apply(from.Revision, c, reading)
-	return true, nil
+	return confirmation{position, reading.At}, true, nil
 }
 
 func (r *Replicator) recordRead() {
@@ -237,12 +247,12 @@
 	return r.state.Load() != nil && r.settings.Clock.Now().Sub(r.readAt) < r.settings.Pause
 }
 
-// position returns the position up to which the state is known to be current, and
-// since when; a zero one without a state.
-func (r *Replicator) position() (Position, time.Time) {
+// position returns the position up to which the state is known to be current; a zero
+// one without a state.
+func (r *Replicator) position() Position {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.positionLocked(), r.confirmedAt
+	return r.positionLocked()
 }
 
 // positionLocked returns the position of position. The caller holds mu.
@@ -254,15 +264,15 @@
 	return p
 }
 
-// confirmAt records that the store was at a position at the given time. It returns
-// false if the state is not known to be current at that position.
-func (r *Replicator) confirmAt(p Position, at time.Time) bool {
+// confirmWith records a confirmation that comes from the read of another kind. It
+// returns false if the state is not known to be current at its position.
+func (r *Replicator) confirmWith(c confirmation) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if own := r.positionLocked(); r.state.Load() == nil || own.Era != p.Era || own.Revision < p.Revision {
+	if own := r.positionLocked(); r.state.Load() == nil || own.Era != c.Era || own.Revision < c.Revision {
 		return false
 	}
-	r.confirm(at)
+	r.confirm(c.at)
 	return true
 }
 
--- a/replicator/replicator_test.go
+++ b/replicator/replicator_test.go
@@ -193,7 +193,7 @@
 		var seenAt time.Time
 		r.settings.Changed = func(s *State) { seenAt = s.SeenAt }
 		for removedAt.IsZero() || r.Revision() == 5 {
-			if err := r.read(t.Context(), watchWait, 0); err != nil {
+			if _, err := r.read(t.Context(), watchWait, 0); err != nil {
 				t.Fatal(err)
 			}
 		}
