Close the link of a target once if it is removed twice

Cause: each removal starts a goroutine that waits for the end of the last request. A revival woke the first one, which then looked at a field that the second removal had set.

Ruled out: the counting of requests in flight, which the same test checks.

Change: the channel on which the goroutine waits says whether the target has ended or was revived, so that only the goroutine of the last removal closes the link.

--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -184,15 +184,15 @@
 	d.retired[address] = o
 	idle := o.retire(now)
 	d.closers.Go(func() {
-		<-idle
-		if o.hasEnded() {
-			o.link.Close()
-			d.mu.Lock()
-			if d.retired[address] == o {
-				delete(d.retired, address)
-			}
-			d.mu.Unlock()
+		if ended := <-idle; !ended {
+			return
 		}
+		o.link.Close()
+		d.mu.Lock()
+		if d.retired[address] == o {
+			delete(d.retired, address)
+		}
+		d.mu.Unlock()
 	})
 }
 
--- a/dispatcher/lane.go
+++ b/dispatcher/lane.go
@@ -29,11 +29,9 @@
 	connectionBound   int
 	connectionsWanted int
 	snapshots         []jujubegate.Snapshot
-	// idle is set while the target is retired. It is closed when the last
-	// request in flight has ended, which also sets ended, or when the target
-	// is revived.
-	idle  chan struct{}
-	ended bool
+	// idle is set while the target is retired. It gets true when the last request
+	// in flight has ended, or false when the target is revived.
+	idle chan bool
 
 	reported reported
 }
@@ -99,14 +97,14 @@
 }
 
 // retire refuses the queued sub-requests and lets the requests in flight end.
-// The returned channel is closed when they have ended, or when the target is
+// The returned channel gets true when they have ended, or false when the target is
 // revived.
-func (o *ownedTarget) retire(now time.Time) <-chan struct{} {
+func (o *ownedTarget) retire(now time.Time) <-chan bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.retired = true
 	o.refuseQueue(newRefusal(jujubegate.NotOwner, "this instance gave up the target"), now)
-	idle := make(chan struct{})
+	idle := make(chan bool, 1)
 	o.idle = idle
 	o.checkIdle(now)
 	return idle
@@ -121,7 +119,7 @@
 		return false
 	}
 	o.retired = false
-	close(o.idle)
+	o.idle <- false
 	o.idle = nil
 	o.applySpec(t, spec)
 	o.limiter.Reset(now)
@@ -129,18 +127,11 @@
 	return true
 }
 
-func (o *ownedTarget) hasEnded() bool {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	return o.ended
-}
-
-// checkIdle closes the idle channel of a retired target that has no requests
-// in flight.
+// checkIdle reports the end of a retired target that has no requests in flight.
 func (o *ownedTarget) checkIdle(now time.Time) {
 	if o.retired && o.idle != nil && o.limiter.InFlight(now) == 0 {
-		close(o.idle)
-		o.idle, o.ended = nil, true
+		o.idle <- true
+		o.idle = nil
 	}
 }
 
