Let a call end with its context when the process stalls

Cause: after a stall of the process both times are over, and a select takes either. A stall between two steps of the test itself fails it too, as it ran on the real clock.

Ruled out: a latency that is not injected; it passes without a stall.

Change: the store waits for the context alone if that ends before the latency. The test runs in a bubble of synctest, whose time stands still in a stall; its checks are the same.

TestStallHidesLatency: before, the first call returned no error; after, it passes.

--- a/storer/memory_test.go
+++ b/storer/memory_test.go
@@ -2,17 +2,25 @@
 
 import (
 	"context"
+	"errors"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/jonboulle/clockwork"
 	. "github.com/smartystreets/goconvey/convey"
+	"jujubegate.example/jujubegate"
 	"jujubegate.example/jujubegate/storer"
 )
 
 func TestMemoryFaults(t *testing.T) {
 	// Guards against faults that are set but not injected: tests that rely on
-	// them would pass without testing anything.
+	// them would pass without testing anything. The time of a bubble stands still while the
+	// process stalls.
+	synctest.Test(t, testMemoryFaults)
+}
+
+func testMemoryFaults(t *testing.T) {
 	ctx := context.Background()
 	cases := []struct {
 		name    string
@@ -78,3 +86,29 @@
 		})
 	})
 }
+
+// stalledClock is the clock of a process that stalls whenever it waits: all timers are
+// over when it goes on.
+type stalledClock struct{ jujubegate.Clock }
+
+func (stalledClock) After(d time.Duration) <-chan time.Time {
+	time.Sleep(2 * d)
+	over := make(chan time.Time, 1)
+	over <- time.Now()
+	return over
+}
+
+func TestStallHidesLatency(t *testing.T) {
+	// Guards against a call that succeeds although its context ended before the injected
+	// latency, because the process stalled until both were over.
+	m := storer.NewMemory(stalledClock{clockwork.NewRealClock()}, 1)
+	m.SetFaults(storer.Faults{Latency: 10 * time.Millisecond})
+	for range 20 {
+		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Millisecond)
+		_, err := m.Put(ctx, "k", []byte("v"), 0)
+		cancel()
+		if !errors.Is(err, storer.ErrUnknown) {
+			t.Fatalf("put: %v, want %v", err, storer.ErrUnknown)
+		}
+	}
+}
--- a/storer/memoryfault.go
+++ b/storer/memoryfault.go
@@ -130,6 +130,11 @@
 	if d <= 0 {
 		return nil
 	}
+	if deadline, ok := ctx.Deadline(); ok && deadline.Before(m.clock.Now().Add(d)) {
+		// After a stall of the process both times may be over at once.
+		<-ctx.Done()
+		return context.Cause(ctx)
+	}
 	select {
 	case <-m.clock.After(d):
 		return nil
