Keep a request suspected when a target answers it with an error

What targets saw: a blocked request that crashes them was let through again, at all instances.

Cause: any signed answer cleared a request. The class: taking an answer for what it does not say.

Ruled out, by debug lines in a trial: an answer to another request, and an empty one of a connection that broke.

Change: only an answer without an error of the target (below 500, but for 408 and 429) clears a request.

TestErrorOfTargetClearsRequest: before, 408, 429 and all of 500 to 504 cleared it; after, none of them does.

--- a/sender/run.go
+++ b/sender/run.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"net/http"
 	"time"
 
 	"jujubegate.example/jujubegate"
@@ -263,7 +264,7 @@
 			result := classify(&answer, err)
 			r.notice(replica, &answer, result)
 			r.observe(replica, result, answer.Status, sentAt)
-			r.screen(context.WithoutCancel(ctx), replica, result, err, sentAt)
+			r.screen(context.WithoutCancel(ctx), replica, result, answer.Status, err, sentAt)
 		},
 	})
 	now := r.sender.settings.Clock.Now()
@@ -289,7 +290,7 @@
 		// arrives.
 		r.observe(replica, result, answer.Status, sentAt)
 	}
-	ended := result != Overtaken && r.screen(ctx, replica, result, err, sentAt)
+	ended := result != Overtaken && r.screen(ctx, replica, result, answer.Status, err, sentAt)
 	r.results <- &completion{index: index, replica: replica, answer: answer, err: err, sentAt: sentAt, result: result, ended: ended}
 }
 
@@ -319,12 +320,14 @@
 
 // screen records what the end of an attempt says about the request, and reports whether
 // the process of the target has ended.
-func (r *callState) screen(ctx context.Context, replica *tracker.Replica, result AttemptResult, err error, sentAt time.Time) bool {
+func (r *callState) screen(ctx context.Context, replica *tracker.Replica, result AttemptResult, status int, err error, sentAt time.Time) bool {
 	run := r.call.Run
 	defer run.EndAttempt()
 	switch {
 	case result == Answered:
-		run.RecordAnswer()
+		if showsRun(status) {
+			run.RecordAnswer()
+		}
 	case result == Broken && connector.BrokenByTarget(err) && !run.Answered() && replica.Pool.Ended(ctx, sentAt):
 		e := replica.Entry()
 		run.RecordCrash(fmt.Sprint(e.ID, "/", e.Started))
@@ -333,6 +336,12 @@
 	return false
 }
 
+// showsRun reports whether a target that answers with the status has run the request. It
+// can also fail or reject one that it has not begun, for instance when the time is up.
+func showsRun(status int) bool {
+	return status < http.StatusInternalServerError && status != http.StatusRequestTimeout && status != http.StatusTooManyRequests
+}
+
 // handleCompletion records the result of an attempt and starts a retry if the
 // call needs one. It returns the result of the call and true once that is known.
 func (r *callState) handleCompletion(c *completion) (CallResult, bool) {
--- a/sender/screened_test.go
+++ b/sender/screened_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"testing"
 	"time"
@@ -83,3 +84,28 @@
 		})
 	}
 }
+
+func TestErrorOfTargetClearsRequest(t *testing.T) {
+	// Guards against a request that crashes its targets and counts as harmless because one
+	// of them answered instead of running it, for instance when its time was up.
+	cases := []struct {
+		status int
+		ran    bool
+	}{
+		{200, true}, {204, true}, {400, true}, {404, true}, {408, false}, {429, false}, {500, false}, {502, false}, {503, false}, {504, false},
+	}
+	for _, c := range cases {
+		s := screener.New(screener.Settings{Clock: clockwork.NewRealClock(), Log: zap.NewNop()})
+		f := newFixture(t, 50, func(id string) string {
+			return fmt.Sprintf("HTTP/1.1 %d X\r\nX-Id: %s\r\nX-Signature: s\r\nContent-Length: 0\r\n\r\n", c.status, id)
+		})
+		run, _ := s.Begin("1", func() screener.Key { return screener.Key{} })
+		f.sender.Send(t.Context(), Call{
+			Service: service, Run: run, Route: &router.Route{Name: "r", Idempotent: true, Attempts: 1},
+			Request: &connector.Request{ID: "id", Method: "GET", URI: "/", Host: "h", Deadline: time.Now().Add(time.Second)},
+		})
+		if run.Answered() != c.ran {
+			t.Errorf("status %d: cleared %v, want %v", c.status, run.Answered(), c.ran)
+		}
+	}
+}
