Keep blocked requests in the store

Cause: what is blocked was known to the running instances only; what must last lives in the store.

Change: the first instance in rank writes the blocked requests when they change, one object. An instance reads them once, 25 ms after its start if it knows no others, and tells them at once. Nothing is written while nothing is blocked. Clears remove them. Bad entries hide no others.

TestRestartOfAllForgetsBlockedRequest: before, 9 targets crashed after the restart; after, none.

--- a/conductor/adapter.go
+++ b/conductor/adapter.go
@@ -9,6 +9,7 @@
 	"jujubegate.example/jujubegate/promoter"
 	"jujubegate.example/jujubegate/replicator"
 	"jujubegate.example/jujubegate/router"
+	"jujubegate.example/jujubegate/screener"
 	"jujubegate.example/jujubegate/tracker"
 )
 
@@ -43,11 +44,15 @@
 	// DecodeInstance and EncodeInstance convert the store entry of an instance.
 	DecodeInstance func(o replicator.Object) (gossiper.Peer, error)
 	EncodeInstance func(p gossiper.Peer) ([]byte, error)
+	// DecodeBlocked and EncodeBlocked convert the requests that crash targets. Decoding
+	// returns what can be read, and an error if that is not all.
+	DecodeBlocked func(o replicator.Object) ([]screener.Saved, error)
+	EncodeBlocked func(list []screener.Saved) ([]byte, error)
 }
 
 // Kinds names the kinds of objects in the store.
 type Kinds struct {
-	Configuration, Targets, OutOfService, Moves, Instances string
+	Configuration, Targets, OutOfService, Moves, Instances, Blocked string
 }
 
 // LookupAnswer lists the addresses to which a caller may connect.
--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -76,6 +76,7 @@
 	reader         *replicator.Reader
 	promoter       *promoter.Promoter
 	screener       *screener.Screener
+	keeper         *screener.Keeper
 	decodedTargets map[string]decodedTarget
 	division       atomic.Pointer[division]
 	transport      *http.Transport
@@ -148,6 +149,10 @@
 	c.screener = screener.New(screener.Settings{
 		Clock: clock, Log: log, Changed: func() { c.gossiper.TriggerRound() },
 	})
+	c.keeper = screener.NewKeeper(screener.KeeperSettings{
+		Screener: c.screener, Clock: clock, Log: log, Load: c.loadBlocked, Save: c.saveBlocked,
+		Rank: func() int { return c.gossiper.Rank(adapter.Kinds.Configuration) },
+	})
 	c.sender = sender.New(sender.Settings{
 		Tracker: c.tracker, Clock: clock, Seed: rand.Uint64(), Share: c.share, DataCentre: settings.DataCentre,
 		Plan: c.promoter.Plan, Observe: c.observe,
@@ -299,6 +304,7 @@
 	go c.tracker.Run(background)
 	go c.maintainRegistration(background)
 	go c.promoter.Run(background)
+	go c.keeper.Run(background)
 	go c.updateAfterStartup(background)
 	c.log.Info("conductor: started", zap.String("Instance", string(c.settings.Load().Instance)),
 		zap.String("DataCentre", string(c.settings.Load().DataCentre)), zap.String("Release", jujubegate.Release()), zap.Any("Listen", c.settings.Load().Listen))
