Report a query as late whatever answer comes after its deadline

Cause: when the process stalls until the deadline and the answer are both there, either is taken first. Callers then hear of a bad answer and look for a fault of the target.

Ruled out: the limiter and the health of versions, which still count what the target did.

Change: a bad answer after the deadline, for an order after its grace period, is reported as DeadlinePassed.

TestBadAnswerAfterTheDeadline: before, BadAnswer; after, it passes.

--- a/dispatcher/stub_test.go
+++ b/dispatcher/stub_test.go
@@ -28,6 +28,10 @@
 	// bounds is the last connection bound that was set.
 	bounds      atomic.Int64
 	neverCloses atomic.Bool
+	// stall is how long the process stalls after a request was sent, until it has read
+	// the answer stalled; 0 if it does not.
+	stall   time.Duration
+	stalled dialer.Result
 }
 
 type stubRequest struct {
@@ -55,6 +59,10 @@
 	s.sends.Add(1)
 	request := &stubRequest{Request: r, ctx: ctx, answer: make(chan dialer.Result, 1)}
 	s.sent <- request
+	if s.stall > 0 {
+		time.Sleep(s.stall)
+		return s.stalled
+	}
 	select {
 	case result := <-request.answer:
 		return result
--- a/dispatcher/task.go
+++ b/dispatcher/task.go
@@ -147,12 +147,27 @@
 		return
 	}
 	t.run.addResult(jujubegate.SubResult{
-		Shard: t.sub.Shard, Attempt: t.sub.Attempt, Target: t.sub.Target, Refusal: result.Refusal,
+		Shard: t.sub.Shard, Attempt: t.sub.Attempt, Target: t.sub.Target, Refusal: reportedRefusal(result.Refusal, b, now),
 		Snapshot: result.Answer.Snapshot, Range: result.Answer.Range, Rows: result.Answer.Rows,
 		ServiceTime: result.ServiceTime,
 	})
 }
 
+// reportedRefusal returns the refusal for the caller. A request whose time has passed has
+// failed by that, whatever answer comes after it.
+func reportedRefusal(r *jujubegate.Refusal, b *jujubegate.Batch, now time.Time) *jujubegate.Refusal {
+	limit := b.Deadline
+	if b.Order {
+		limit = limit.Add(orderGrace)
+	}
+	if r == nil || r.Reason != jujubegate.BadAnswer || now.Before(limit) {
+		return r
+	}
+	late := *r
+	late.Reason = jujubegate.DeadlinePassed
+	return &late
+}
+
 func (o *ownedTarget) currentTarget() jujubegate.Target {
 	o.mu.Lock()
 	defer o.mu.Unlock()
