Look more often whether to read the store until it has been read

Cause: an instance that waits for the state of peers looks every 250 ms whether it is its turn to read. Its turn comes earlier as soon as it knows another instance.

Ruled out: the store (its answer took 4 ms), and gossip (others had the state 9 ms later).

Change: it looks every 25 ms until all kinds have a state.

TestStartedReaderMissesItsTurn: before, not read within 50 ms of the turn; after, it passes.

--- a/replicator/reader.go
+++ b/replicator/reader.go
@@ -22,6 +22,8 @@
 	// readCheckPeriod is the time between two checks whether this instance must read
 	// the store.
 	readCheckPeriod = 250 * time.Millisecond
+	// startCheckPeriod replaces it until all kinds have a state.
+	startCheckPeriod = 25 * time.Millisecond
 )
 
 // Reader reads all kinds from the store. It watches only one of them, the lead.
@@ -71,7 +73,7 @@
 	for ctx.Err() == nil {
 		rd.endRewriting()
 		if delay := rd.readAfter() - rd.Age(); delay > 0 {
-			rd.sleep(ctx, min(delay, readCheckPeriod))
+			rd.sleep(ctx, min(delay, rd.checkPeriod()))
 			continue
 		}
 		err := rd.read(ctx)
@@ -89,6 +91,13 @@
 	}
 }
 
+func (rd *Reader) checkPeriod() time.Duration {
+	if rd.Complete() {
+		return readCheckPeriod
+	}
+	return startCheckPeriod
+}
+
 // read watches the lead, then reads the other kinds that may have changed.
 func (rd *Reader) read(ctx context.Context) error {
 	read, err := rd.lead.read(ctx, watchWait, 0)
--- a/replicator/reader_test.go
+++ b/replicator/reader_test.go
@@ -186,3 +186,32 @@
 		}
 	})
 }
+
+func TestStartedReaderMissesItsTurn(t *testing.T) {
+	// Guards against a fleet that starts as a whole and waits for a check that is a quarter
+	// of a second away, although an instance has learnt that it is the one to read.
+	synctest.Test(t, func(t *testing.T) {
+		const turnAt, soon = 260 * time.Millisecond, 50 * time.Millisecond
+		store := newFakeStore()
+		lead := newReplicator(store.source())
+		start := time.Now()
+		reader := NewReader(lead.settings.Clock, func() time.Duration {
+			if time.Since(start) < turnAt {
+				return time.Second
+			}
+			return 0
+		}, lead)
+		ctx, stop := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() {
+			reader.Run(ctx)
+			close(done)
+		}()
+		time.Sleep(turnAt + soon)
+		if lead.State() == nil {
+			t.Errorf("the store was not read within %v of the reader's turn", soon)
+		}
+		stop()
+		<-done
+	})
+}
