--- a/replicator/replicator.go
+++ b/replicator/replicator.go
@@ -203,7 +203,7 @@
 		return confirmation{}, err
 	}
 	own := r.Position()
-	position := l.Position.withDefaultEra(own.Era)
+	position := l.withDefaultEra(own.Era)
 	if position.Before(own) {
 		return confirmation{}, fmt.Errorf("%w: listing at era %d, revision %d, and the state is at era %d, revision %d", ErrOutdated, l.Era, l.Revision, own.Era, own.Revision)
 	}
@@ -216,7 +216,7 @@
 func (r *Replicator) watch(ctx context.Context, from Position, wait time.Duration) (read confirmation, done bool, err error) {
 	reading := Reading{At: r.settings.Clock.Now()}
 	c, err := r.settings.Source.Watch(ctx, r.settings.Kind, from.Revision, wait)
-	position := c.Position.withDefaultEra(from.Era)
+	position := c.withDefaultEra(from.Era)
 	switch era := position.Era; {
 	case errors.Is(err, ErrHistoryGone):
 		r.settings.Log.Info("replicator: store no longer holds the history, listing all objects", zap.String("Kind", r.settings.Kind), zap.Int64("Revision", from.Revision))
