Read the blocked requests only at the instance that reads the store

What operators would see: when a fleet of 1,200 starts as a whole, each instance that knows no others yet reads the blocked requests after 25 ms, more calls than the store takes.

Cause: the rank of an instance that knows no others is the first.

Ruled out: a longer time until the read, since the requests come as soon as callers connect.

Change: the turn of the reader decides, which takes the start of a whole fleet into account.

--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -151,7 +151,7 @@
 	})
 	c.keeper = screener.NewKeeper(screener.KeeperSettings{
 		Screener: c.screener, Clock: clock, Log: log, Load: c.loadBlocked, Save: c.saveBlocked,
-		Rank: func() int { return c.gossiper.Rank(adapter.Kinds.Configuration) },
+		Turn: c.reader.Turn,
 	})
 	c.sender = sender.New(sender.Settings{
 		Tracker: c.tracker, Clock: clock, Seed: rand.Uint64(), Share: c.share, DataCentre: settings.DataCentre,
--- a/replicator/reader.go
+++ b/replicator/reader.go
@@ -72,7 +72,7 @@
 	backoff := minBackoff
 	for ctx.Err() == nil {
 		rd.endRewriting()
-		if delay := rd.readAfter() - rd.Age(); delay > 0 {
+		if delay := rd.turnIn(); delay > 0 {
 			rd.sleep(ctx, min(delay, rd.checkPeriod()))
 			continue
 		}
@@ -91,6 +91,12 @@
 	}
 }
 
+// Turn reports whether it is this instance that reads the store now.
+func (rd *Reader) Turn() bool { return rd.turnIn() <= 0 }
+
+// turnIn returns the time until this instance reads the store, if nobody else does.
+func (rd *Reader) turnIn() time.Duration { return rd.readAfter() - rd.Age() }
+
 func (rd *Reader) checkPeriod() time.Duration {
 	if rd.Complete() {
 		return readCheckPeriod
--- a/screener/keeper.go
+++ b/screener/keeper.go
@@ -12,10 +12,12 @@
 )
 
 const (
-	// firstCheck is the time until the first check of the Keeper, before an instance is
-	// ready, and keepPeriod that between two others.
-	firstCheck = 25 * time.Millisecond
-	keepPeriod = 250 * time.Millisecond
+	// keepPeriod is the time between two checks of the Keeper. For startTime after the
+	// start it is startPeriod, so that what the store holds is known when the first
+	// requests come.
+	keepPeriod  = 250 * time.Millisecond
+	startPeriod = 25 * time.Millisecond
+	startTime   = 2 * time.Second
 	// saveRetry is the time until a failed call to the store is made again.
 	saveRetry = time.Second
 	// maxSaved bounds the requests that are saved, those blocked for longest.
@@ -83,18 +85,16 @@
 	Screener *Screener
 	Clock    jujubegate.Clock
 	Log      *zap.Logger
-	// Rank returns the rank of this instance among those that can reach the store; the
-	// first one reads and writes.
-	Rank func() int
+	// Turn reports whether it is this instance that reads the store for all.
+	Turn func() bool
 	// Load returns what the store holds, and Save replaces it.
 	Load func(ctx context.Context) ([]Saved, error)
 	Save func(ctx context.Context, list []Saved) error
 }
 
 // Keeper keeps the blocked requests in the store, so that they stay blocked when all
-// instances restart at once. The first instance in rank reads them once after its start
-// and writes them when they change; the others are told by it. An instance that knows no
-// others yet is the first one.
+// instances restart at once. The instance that reads the store for all reads them once
+// after its start and writes them when they change; the others are told by it.
 type Keeper struct {
 	settings KeeperSettings
 	loaded   bool
@@ -108,9 +108,14 @@
 
 // Run reads and writes until the context ends.
 func (k *Keeper) Run(ctx context.Context) {
-	for wait := firstCheck; ctx.Err() == nil; wait = keepPeriod {
+	start := k.settings.Clock.Now()
+	for ctx.Err() == nil {
+		period := keepPeriod
+		if k.settings.Clock.Since(start) < startTime {
+			period = startPeriod
+		}
 		select {
-		case <-k.settings.Clock.After(wait):
+		case <-k.settings.Clock.After(period):
 		case <-ctx.Done():
 			return
 		}
@@ -121,7 +126,7 @@
 // check makes the call that is due, if any.
 func (k *Keeper) check(ctx context.Context) {
 	now := k.settings.Clock.Now()
-	if now.Before(k.notBefore) || k.settings.Rank() != 0 {
+	if now.Before(k.notBefore) || !k.settings.Turn() {
 		return
 	}
 	err := k.load(ctx)
--- a/screener/keeper_test.go
+++ b/screener/keeper_test.go
@@ -17,10 +17,10 @@
 	down         bool
 }
 
-func (f *fakeKept) keeper(s *Screener, clock clockwork.Clock, rank *int) *Keeper {
+func (f *fakeKept) keeper(s *Screener, clock clockwork.Clock, turn *bool) *Keeper {
 	failed := errors.New("the store is away")
 	return NewKeeper(KeeperSettings{
-		Screener: s, Clock: clock, Log: zap.NewNop(), Rank: func() int { return *rank },
+		Screener: s, Clock: clock, Log: zap.NewNop(), Turn: func() bool { return *turn },
 		Load: func(context.Context) ([]Saved, error) {
 			f.loads++
 			if f.down {
@@ -56,14 +56,15 @@
 	first := New(settings)
 	settings.Changed = func() { told++ }
 	second := New(settings)
-	store, rank, other := &fakeKept{down: true}, 0, 1
-	keeper := store.keeper(first, clock, &rank)
-	turn := func() {
+	store := &fakeKept{down: true}
+	firstTurn, otherTurn := true, false
+	keeper := store.keeper(first, clock, &firstTurn)
+	check := func() {
 		clock.Advance(keepPeriod)
 		keeper.check(t.Context())
 	}
 	for range 4 {
-		turn()
+		check()
 	}
 	if store.loads != 1 {
 		t.Errorf("%d reads in a second while the store is away, want 1", store.loads)
@@ -72,18 +73,18 @@
 	clock.Advance(saveRetry)
 	blockRequest(first, key)
 	for range 10 {
-		turn()
+		check()
 	}
 	if store.loads != 2 || store.saves != 1 || len(store.list) != 1 {
 		t.Errorf("%d reads, %d writes, %d requests in the store, want 2, 1 and 1", store.loads, store.saves, len(store.list))
 	}
 
-	follower := store.keeper(second, clock, &other)
+	follower := store.keeper(second, clock, &otherTurn)
 	follower.check(t.Context())
 	if store.loads != 2 || second.BlockedCount() != 0 {
-		t.Error("an instance that is not the first one has read the store")
+		t.Error("an instance has read the store although another one reads it for all")
 	}
-	other = 0
+	otherTurn = true
 	follower.check(t.Context())
 	if store.loads != 3 || store.saves != 1 || !second.isBlocked(key) {
 		t.Errorf("blocked %v after a restart, %d writes, want it blocked and no further write", second.isBlocked(key), store.saves)
