--- a/receiver/receiver.go
+++ b/receiver/receiver.go
@@ -375,10 +375,14 @@
 // attempts that were still running when the query was answered.
 func (e *exchange) gatherDetails(result *gatherer.Result) []zap.Field {
 	missing, attempts := result.Missing()
-	return []zap.Field{
+	fields := []zap.Field{
 		zap.Int("Shards", len(e.route.Gather.Shards)), zap.Int("In", len(result.Signatures)),
-		zap.Int("Tries", attempts), zap.Array("Missing", missingShards(missing)), zap.String("Rejecting", string(result.Rejecting)),
+		zap.Int("Tries", attempts), zap.Array("Missing", missingShards(missing)),
 	}
+	if result.Rejecting != "" {
+		fields = append(fields, zap.String("Rejecting", string(result.Rejecting)))
+	}
+	return fields
 }
 
 // refusalFor returns the refusal of a request that no target answered. Status 503
--- a/screener/keeper.go
+++ b/screener/keeper.go
@@ -60,8 +60,7 @@
 	now, changed := s.settings.Clock.Now(), false
 	s.mu.Lock()
 	for _, saved := range list {
-		latest := now.Add(maxBlock + probationLifetime)
-		if saved.Blocks <= 0 || !now.Before(saved.ExpiresAt) || saved.ExpiresAt.After(latest) || saved.BlockedUntil.After(now.Add(maxBlock)) {
+		if !saved.usable(now) {
 			continue
 		}
 		r := s.record(saved.Key, now)
@@ -80,6 +79,12 @@
 	}
 }
 
+// usable reports whether the times of a saved request can be right.
+func (s Saved) usable(now time.Time) bool {
+	return s.Blocks > 0 && now.Before(s.ExpiresAt) && !s.ExpiresAt.After(now.Add(maxBlock+probationLifetime)) &&
+		!s.BlockedUntil.After(now.Add(maxBlock))
+}
+
 // KeeperSettings are the dependencies of a Keeper.
 type KeeperSettings struct {
 	Screener *Screener
--- a/sender/run.go
+++ b/sender/run.go
@@ -191,9 +191,10 @@
 	}
 }
 
-// choose returns the target for the next attempt, or why there is none. It skips
-// targets that are at the limit of their start or at the one that they name. Targets that are unresponsive or have no
-// free connection are a last resort, and a hedge is never sent to them.
+// choose returns the target for the next attempt, or why there is none. It skips targets
+// that are at the limit of their start or at the one that they name. Targets that are
+// unresponsive or have no free connection are a last resort, and a hedge is never sent
+// to them.
 func (r *callState) choose(now time.Time, kind AttemptKind) (*tracker.Replica, jujubegate.Reason) {
 	replicas := r.candidates.first
 	if kind != First {
