Run the test of late bad answers in a bubble of synctest

Its first case had 30 ms of real time, which a stall of the machine takes. The time of a bubble stands still in a stall; the checks are the same.

--- a/dispatcher/late_test.go
+++ b/dispatcher/late_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"jujubegate.example/jujubegate"
@@ -17,25 +18,26 @@
 		name   string
 		order  bool
 		after  time.Duration
-		answer dialer.Result
 		reason jujubegate.Reason
 	}{
-		{"query, in time", false, time.Millisecond, bad, jujubegate.BadAnswer},
-		{"query, after the deadline", false, 60 * time.Millisecond, bad, jujubegate.DeadlinePassed},
-		{"order, after the deadline", true, 60 * time.Millisecond, bad, jujubegate.BadAnswer},
-		{"order, after its grace", true, orderGrace + 60*time.Millisecond, bad, jujubegate.DeadlinePassed},
+		{"query, in time", false, time.Millisecond, jujubegate.BadAnswer},
+		{"query, after the deadline", false, 60 * time.Millisecond, jujubegate.DeadlinePassed},
+		{"order, after the deadline", true, 60 * time.Millisecond, jujubegate.BadAnswer},
+		{"order, after its grace", true, orderGrace + 60*time.Millisecond, jujubegate.DeadlinePassed},
 	}
 	for _, c := range cases {
-		s := newStub()
-		s.stall, s.stalled = c.after, c.answer
-		d, _ := newOwner(s)
-		b := batch("q", 30*time.Millisecond)
-		b.Order = c.order
-		results := do(d, t.Context(), b)
-		<-s.sent
-		if r := (<-results)[0].Refusal; r == nil || r.Reason != c.reason || r.Outcome != jujubegate.Unknown {
-			t.Errorf("%s: %v, want %s with an unknown outcome", c.name, r, c.reason)
-		}
-		d.Close(t.Context())
+		synctest.Test(t, func(t *testing.T) {
+			s := newStub()
+			s.stall, s.stalled = c.after, bad
+			d, _ := newOwner(s)
+			b := batch("q", 30*time.Millisecond)
+			b.Order = c.order
+			results := do(d, t.Context(), b)
+			<-s.sent
+			if r := (<-results)[0].Refusal; r == nil || r.Reason != c.reason || r.Outcome != jujubegate.Unknown {
+				t.Errorf("%s: %v, want %s with an unknown outcome", c.name, r, c.reason)
+			}
+			d.Close(t.Context())
+		})
 	}
 }
