Show that a version that is bad under load is completed

A new version gets 0.05 of the traffic until it is completed, so that a fault under load never shows before. Half of all orders fail from then on, which breaks EXPOSURE.

--- a/review/_cases/main.go
+++ b/review/_cases/main.go
@@ -18,6 +18,7 @@
 // cases are the functions that run a case. Each returns whether the rule held.
 var cases = map[string]func(c *caseRun) (bool, error){
 	"take-back": takeBack,
+	"load":      badUnderLoad,
 }
 
 // caseRun is one run of a case.
