Show that a quiet service is moved to a bad version

A version is completed at its deadline unless there is evidence against it, also if it had hardly any request. With four requests a second and 12 s, v2 gets 2 to 4 requests before that, is completed, and the old servers stop: a quarter of all orders fail, which breaks EXPOSURE.

--- a/review/_cases/main.go
+++ b/review/_cases/main.go
@@ -19,6 +19,7 @@
 var cases = map[string]func(c *caseRun) (bool, error){
 	"take-back": takeBack,
 	"load":      badUnderLoad,
+	"quiet":     quietService,
 }
 
 // caseRun is one run of a case.
