Show that one crash blocks a question that many callers ask

The end of one server counts once for each request that it had, so that three requests for the same path in flight are taken for one that crashes its servers. All instances then refuse the path for five minutes, which breaks CONFIG on a route that was added later.

--- a/review/_cases/main.go
+++ b/review/_cases/main.go
@@ -20,6 +20,7 @@
 	"take-back": takeBack,
 	"load":      badUnderLoad,
 	"quiet":     quietService,
+	"popular":   popularQuestion,
 }
 
 // caseRun is one run of a case.
