Show that a version that was rolled back gets traffic again

An order of a further version replaces the decision on the one before, so that a bad version whose servers have not drained yet counts as an old one. This breaks EXPOSURE.

--- a/review/_cases/main.go
+++ b/review/_cases/main.go
@@ -17,10 +17,11 @@
 
 // cases are the functions that run a case. Each returns whether the rule held.
 var cases = map[string]func(c *caseRun) (bool, error){
-	"take-back": takeBack,
-	"load":      badUnderLoad,
-	"quiet":     quietService,
-	"popular":   popularQuestion,
+	"take-back":    takeBack,
+	"load":         badUnderLoad,
+	"quiet":        quietService,
+	"popular":      popularQuestion,
+	"roll-forward": rollForward,
 }
 
 // caseRun is one run of a case.
