--- a/review/_cases/booking.go
+++ b/review/_cases/booking.go
@@ -86,20 +86,20 @@
 	}
 }
 
-// stopOldServers does what the platform does on the final state of the move to v2: the
-// servers of v1 stop at once, or those of v2 drain some seconds later.
-func (b *booking) stopOldServers(state string) {
+// finish does what the platform does on the final state of a move: the servers of the old
+// version stop at once, or those of the new one drain some seconds later.
+func (b *booking) finish(state, oldVersion, newVersion string) {
 	switch state {
 	case "completed":
-		b.eachOf("v1", func(s *server) {
+		b.eachOf(oldVersion, func(s *server) {
 			s.crash()
 			b.store.Remove("servers", s.id)
 		})
-		b.run.printf("the servers of v1 stop")
+		b.run.printf("the servers of %s stop", oldVersion)
 	case "rolled_back":
 		time.Sleep(3 * time.Second)
-		b.eachOf("v2", func(s *server) { s.report(b.store, "draining") })
-		b.run.printf("the servers of v2 drain")
+		b.eachOf(newVersion, func(s *server) { s.report(b.store, "draining") })
+		b.run.printf("the servers of %s drain", newVersion)
 	}
 }
 
@@ -144,6 +144,7 @@
 				case <-time.After(pause):
 				}
 				id := fmt.Sprintf("order-%d-%d", w, n)
+				b.run.notef("%s is sent", id)
 				a := cl.send(http.MethodPost, b.anyInstance(), "/booking/visit", id, budget, []byte("visit "+id))
 				b.run.notef("%s is answered %d after %v, error %v", id, a.status, a.took, a.err)
 				b.sent.Add(1)
--- a/review/_cases/fleet.go
+++ b/review/_cases/fleet.go
@@ -226,7 +226,7 @@
 func (f *fleet) configure(version int, routes []map[string]any, names []string) {
 	services := make([]map[string]any, len(names))
 	for i, name := range names {
-		services[i] = map[string]any{"name": name, "health_path": "/health", "max_conns": 100, "warmup_s": 3, "warmup_per_s": 0}
+		services[i] = map[string]any{"name": name, "health_path": "/health", "max_conns": 100, "warmup_s": 0, "warmup_per_s": 0}
 	}
 	f.store.Put("config", "main", map[string]any{
 		"version": version, "routes": routes, "services": services,
--- a/review/_cases/load.go
+++ b/review/_cases/load.go
@@ -53,7 +53,7 @@
 	if err := b.addServers("v2", 3); err != nil {
 		return false, err
 	}
-	b.stopOldServers(b.waitDecided(2 * loadMove))
+	b.finish(b.waitDecided(2*loadMove), "v1", "v2")
 	time.Sleep(time.Until(ordered.Add(loadMove + 15*time.Second)))
 	b.end()
 	return b.judge("v2", ordered, loadMove), nil
--- a/review/_cases/popular.go
+++ b/review/_cases/popular.go
@@ -14,6 +14,9 @@
 	// long they are down.
 	crashAt  = 8 * time.Second
 	crashFor = 4500 * time.Millisecond
+	// entryLapse is how long after the last heartbeat an entry is removed: three intervals
+	// of 1.2 s.
+	entryLapse = 3600 * time.Millisecond
 	// steadyFor is how long the steady state is watched.
 	steadyFor = 35 * time.Second
 	// laterShare is the least share of the rate at which requests on the first routes are
@@ -87,6 +90,7 @@
 					name, path = "record", fmt.Sprintf("/record/%d-%d", w, n)
 				}
 				id := fmt.Sprintf("%s-%d-%d", name, w, n)
+				c.notef("%s %s is sent", id, path)
 				a := cl.send(http.MethodGet, f.anyInstance(), path, id, budget, nil)
 				c.notef("%s %s is answered %d after %v, Retry-After %q, error %v", id, path, a.status, a.took, a.header.Get("Retry-After"), a.err)
 				mu.Lock()
@@ -108,7 +112,12 @@
 			s.crash()
 		}
 		c.printf("both servers of calendar crash")
-		time.Sleep(crashFor)
+		time.Sleep(entryLapse)
+		for _, s := range servers[:2] {
+			f.store.Remove("servers", s.id)
+		}
+		c.printf("their entries are removed")
+		time.Sleep(crashFor - entryLapse)
 		for _, s := range servers[:2] {
 			if err := s.restart(f.store); err != nil {
 				return false, err
--- a/review/_cases/quiet.go
+++ b/review/_cases/quiet.go
@@ -26,7 +26,7 @@
 	if err := b.addServers("v2", 3); err != nil {
 		return false, err
 	}
-	b.stopOldServers(b.waitDecided(2 * quietMove))
+	b.finish(b.waitDecided(2*quietMove), "v1", "v2")
 	time.Sleep(time.Until(ordered.Add(95 * time.Second)))
 	b.end()
 	return b.judge("v2", ordered, quietMove), nil
--- a/review/_cases/takeback.go
+++ b/review/_cases/takeback.go
@@ -26,15 +26,16 @@
 	if err := b.addServers("v2", 3); err != nil {
 		return false, err
 	}
+	oldVersion, newVersion := "v1", "v2"
 	if c.trouble {
+		oldVersion, newVersion = newVersion, oldVersion
 		time.Sleep(takeBackAfter)
 		if err := b.order("v1", takeBackMove); err != nil {
 			return false, err
 		}
 	}
-	b.waitDecided(time.Until(ordered.Add(takeBackMove)))
+	b.finish(b.waitDecided(takeBackMove+5*time.Second), oldVersion, newVersion)
 	time.Sleep(time.Until(ordered.Add(takeBackMove + 10*time.Second)))
-	c.printf("rollouts/booking is %q", b.moveState())
 	b.end()
 	return b.judge("v2", ordered, takeBackMove), nil
 }
