Show orders that ran and are answered as not run

Cause: receiver.forward writes the status of any signed answer of a target to the caller, also a 503 that does not say that the order has not run.

--- /dev/null
+++ b/review/_cases-2/main.go
@@ -0,0 +1,57 @@
+// Command review-cases-2 plays the cases of the second review: it starts the
+// project's program as processes and checks one rule of the users' pages from what
+// clients, servers and the platform see.
+package main
+
+import (
+	"fmt"
+	"os"
+)
+
+// Exit codes of a case.
+const (
+	exitHeld   = 0
+	exitBroken = 1
+	exitFailed = 2
+)
+
+// cases are the cases by name. Each reports whether the rule was broken. Trouble is
+// false for a run without the disruption.
+var cases = map[string]func(r *record, trouble bool) (broken bool, err error){
+	"seeds":   playSeeds,
+	"refused": playRefused,
+	"gap":     playGap,
+	"cold":    playCold,
+	"pause":   playPause,
+}
+
+func main() {
+	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
+		fmt.Fprintln(os.Stderr, "usage: review-cases-2 CASE RECORD")
+		os.Exit(exitFailed)
+	}
+	os.Exit(run(os.Args[1], os.Args[2]))
+}
+
+func run(name, path string) int {
+	r, err := newRecord(path)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitFailed
+	}
+	defer r.file.Close()
+	trouble := os.Getenv("TROUBLE") != "0"
+	r.write("case %s, with the disruption: %v", name, trouble)
+	broken, err := cases[name](r, trouble)
+	switch {
+	case err != nil:
+		r.write("the case could not run: %v", err)
+		fmt.Fprintln(os.Stderr, err)
+		return exitFailed
+	case broken:
+		r.write("the rule was broken")
+		return exitBroken
+	}
+	r.write("the rule held")
+	return exitHeld
+}
