End the processes of a case that ends early

Cause: a case that was stopped by a signal left its processes running. Result: a stopped case leaves no process and exits with 2.

--- a/review/_cases-2/fleet.go
+++ b/review/_cases-2/fleet.go
@@ -118,6 +118,18 @@
 	return os.WriteFile(m.settings, []byte(text), 0o600)
 }
 
+// started holds the processes that run, which a case that ends early must end.
+var started sync.Map
+
+// endAll ends all processes that were started.
+func endAll() {
+	started.Range(func(command, _ any) bool {
+		// An error means that the process has ended already.
+		_ = command.(*exec.Cmd).Process.Kill()
+		return true
+	})
+}
+
 // start starts the process of a machine with the command of deploy/system.toml.
 func (d *deployment) start(m *machine) error {
 	m.mu.Lock()
@@ -130,9 +142,11 @@
 	}
 	m.exited = make(chan struct{})
 	command, exited := m.command, m.exited
+	started.Store(command, nil)
 	go func() {
 		// Most processes end by a signal.
 		_ = command.Wait()
+		started.Delete(command)
 		close(exited)
 	}()
 	return nil
--- a/review/_cases-2/main.go
+++ b/review/_cases-2/main.go
@@ -6,6 +6,9 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
+	"time"
 )
 
 // Exit codes of a case.
@@ -15,6 +18,9 @@
 	exitFailed = 2
 )
 
+// timeLimit is how long a case may take.
+const timeLimit = 115 * time.Second
+
 // cases are the cases by name. Each reports whether the rule was broken. Trouble is
 // false for a run without the disruption.
 var cases = map[string]func(r *record, trouble bool) (broken bool, err error){
@@ -42,6 +48,7 @@
 	defer r.file.Close()
 	trouble := os.Getenv("TROUBLE") != "0"
 	r.write("case %s, with the disruption: %v", name, trouble)
+	go endEarly(r)
 	broken, err := cases[name](r, trouble)
 	switch {
 	case err != nil:
@@ -55,3 +62,17 @@
 	r.write("the rule held")
 	return exitHeld
 }
+
+// endEarly ends all processes and this one on a signal or at the time limit.
+func endEarly(r *record) {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, os.Interrupt, syscall.SIGTERM, syscall.SIGHUP)
+	select {
+	case s := <-signals:
+		r.write("ended by signal %v", s)
+	case <-time.After(timeLimit):
+		r.write("ended after %v", timeLimit)
+	}
+	endAll()
+	os.Exit(exitFailed)
+}
--- a/review/_cases-2/seeds.go
+++ b/review/_cases-2/seeds.go
@@ -59,6 +59,9 @@
 		found, _ := resolve(newClient(m).http, m)
 		r.write("the directory of %s names %v", m.name, found)
 	}
+	calls := d.store.Calls()
+	time.Sleep(2 * time.Second)
+	r.write("the machines make %d calls to the store in 2 s", d.store.Calls()-calls)
 	orders := newTraffic(r, running, len(running), 50*time.Millisecond, http.MethodPost)
 	var thirdCrash time.Time
 	retries, attempt := 0, 0
