--- a/review/_cases-2/pause.go
+++ b/review/_cases-2/pause.go
@@ -4,21 +4,27 @@
 	"fmt"
 	"net/http"
 	"time"
+
+	"jujubegate.example/jujubegate/platform/standin"
 )
 
 const (
 	// askedPause is the Retry-After of the backend, and pauseSlack the time after its answer
 	// from which on requests count.
-	askedPause = 12 * time.Second
+	askedPause = 20 * time.Second
 	pauseSlack = 500 * time.Millisecond
 	// pausedRequests is how many requests may reach the backend from a machine.
 	pausedRequests = 2
-	// cutTime is how long the backend is cut off from all machines and the store.
-	cutTime = 5500 * time.Millisecond
+	// storeDown is how long the store is down each time, and storeUp how long it is up
+	// between the two, less than the time after which expired entries are back.
+	storeDown = 4500 * time.Millisecond
+	storeUp   = 1800 * time.Millisecond
+	// rewriteAfter is how long after the store's return the entries that expired are back.
+	rewriteAfter = 1500 * time.Millisecond
 )
 
-// playPause lets a backend turn requests away with Retry-After. It is then cut off for a
-// while, so that its entry expires, and comes back before its pause is over.
+// playPause lets a backend turn requests away with Retry-After. The store is then down twice,
+// so that all entries expire, and all are back before the end of the pause.
 func playPause(r *record, trouble bool) (bool, error) {
 	d, err := newDeployment(3)
 	if err != nil {
@@ -42,22 +48,15 @@
 	busy.set(mode{})
 	r.write("%s turns no more requests away", busy.id)
 	if trouble {
-		// The last beat is then as old as it gets.
-		ds.silence(0, true)
-		time.Sleep(heartbeat - 100*time.Millisecond)
-		busy.set(mode{dark: true})
-		cutAt := time.Now()
-		r.write("%s is cut off", busy.id)
-		time.Sleep(silence - heartbeat + 100*time.Millisecond)
-		d.store.Remove("servers", busy.id)
-		r.write("the store removes the entry of %s, %v without a beat", busy.id, silence)
-		time.Sleep(cutTime - time.Since(cutAt))
-		busy.set(mode{})
-		r.write("%s is reached again", busy.id)
-		time.Sleep(heartbeat / 2)
-		ds.silence(0, false)
-		ds.beat(0, 0)
-		r.write("%s beats again", busy.id)
+		d.storeOutage(r, ds)
+		time.Sleep(storeUp)
+		d.storeOutage(r, ds)
+		time.Sleep(rewriteAfter)
+		for i := range ds.list {
+			ds.silence(i, false)
+			ds.beat(i, 0)
+		}
+		r.write("the entries are back, %v after the store", rewriteAfter)
 	}
 	// Until the end of the last pause.
 	last := time.Time{}
@@ -69,8 +68,8 @@
 	time.Sleep(time.Until(last.Add(askedPause)))
 	t.end()
 	// A machine is known by the address to which the client sent the request.
-	until, reached := make(map[string]time.Time), make(map[string]int)
-	from := make(map[string]time.Time)
+	from, until := make(map[string]time.Time), make(map[string]time.Time)
+	reached := make(map[string]int)
 	for _, a := range busy.arrived() {
 		address := t.sent[a.id].address
 		if !a.run {
@@ -92,3 +91,20 @@
 	}
 	return broken, nil
 }
+
+// storeOutage takes the store down for storeDown. The entries of the backends, which cannot
+// beat meanwhile, expire.
+func (d *deployment) storeOutage(r *record, ds *desks) {
+	d.store.SetFault(standin.Unavailable)
+	r.write("the store is down")
+	for i := range ds.list {
+		ds.silence(i, true)
+	}
+	time.Sleep(silence)
+	for _, k := range ds.list {
+		d.store.Remove("servers", k.id)
+	}
+	time.Sleep(storeDown - silence)
+	d.store.SetFault(standin.NoFault)
+	r.write("the store is up, the entries have expired")
+}
