Show orders that run with an empty body under an odd name of an entry

Cause: the name of a target's entry is written into the head of each request without a check, and a line feed at its end ends the head before the length of the body.

--- a/review/_cases-2/main.go
+++ b/review/_cases-2/main.go
@@ -27,6 +27,7 @@
 	"seeds":   playSeeds,
 	"refused": playRefused,
 	"gap":     playGap,
+	"entry":   playEntry,
 	"cold":    playCold,
 	"pause":   playPause,
 }
--- a/review/_cases-2/record.go
+++ b/review/_cases-2/record.go
@@ -55,6 +55,7 @@
 // sending is one client attempt. Its status is 0 without an answer.
 type sending struct {
 	address      string
+	text         string
 	status       int
 	at, answered time.Time
 }
--- a/review/_cases-2/refused.go
+++ b/review/_cases-2/refused.go
@@ -94,7 +94,7 @@
 
 // send sends one client attempt and returns the status of its answer, 0 if there is none.
 func (t *traffic) send(c *client, id, method, path, text string) int {
-	s := sending{address: c.address(), at: time.Now()}
+	s := sending{address: c.address(), text: text, at: time.Now()}
 	if s.address == "" {
 		return 0
 	}
