Record all that was sent, answered and run in the cases

Cause: the records held only totals and what the checks found. Done: each record ends with all client attempts and all arrivals at backends.

--- a/review/_cases-2/cold.go
+++ b/review/_cases-2/cold.go
@@ -30,7 +30,7 @@
 		return false, err
 	}
 	defer ds.close()
-	d.configure(3, warmupRate)
+	d.configure(warmupRate)
 	if err := d.startAll(r, d.machines, d.machines); err != nil {
 		return false, err
 	}
@@ -50,6 +50,8 @@
 	}
 	time.Sleep(warmup)
 	t.end()
+	t.writeAll()
+	ds.writeAll(r)
 	lost := 0
 	for _, s := range t.sent {
 		if s.status != http.StatusOK && s.status != http.StatusServiceUnavailable {
--- a/review/_cases-2/entry.go
+++ b/review/_cases-2/entry.go
@@ -18,7 +18,7 @@
 		return false, err
 	}
 	defer ds.close()
-	d.configure(3, 0)
+	d.configure(0)
 	if err := d.startAll(r, d.machines, d.machines); err != nil {
 		return false, err
 	}
@@ -31,6 +31,8 @@
 	}
 	time.Sleep(6 * time.Second)
 	t.end()
+	t.writeAll()
+	ds.writeAll(r)
 	changed, unknown, served := 0, 0, 0
 	for _, k := range ds.list {
 		for _, a := range k.arrived() {
--- a/review/_cases-2/fleet.go
+++ b/review/_cases-2/fleet.go
@@ -249,7 +249,7 @@
 
 // configure writes a configuration with a route for look-ups, which may be repeated, and
 // one for orders, which must not. WarmupPerS is the rate that a cold backend tolerates.
-func (d *deployment) configure(version int, warmupPerS float64) {
+func (d *deployment) configure(warmupPerS float64) {
 	route := func(name, prefix, kind string) map[string]any {
 		return map[string]any{
 			"name": name, "host": host, "path_prefix": prefix, "type": kind, "timeout_ms": 2000, "target_latency_ms": 400,
@@ -257,7 +257,7 @@
 		}
 	}
 	d.store.Put("config", "main", map[string]any{
-		"version": version,
+		"version": 3,
 		"routes":  []any{route("look-up", "/look-up/", "idempotent"), route("order", "/order/", "non_idempotent")},
 		"services": []any{map[string]any{
 			"name": standin.Single, "health_path": "/health", "max_conns": 26, "protocol": "h1", "tls": false, "warmup_s": 3.0, "warmup_per_s": warmupPerS,
--- a/review/_cases-2/gap.go
+++ b/review/_cases-2/gap.go
@@ -29,7 +29,7 @@
 		return false, err
 	}
 	defer ds.close()
-	d.configure(3, 0)
+	d.configure(0)
 	if err := d.startAll(r, d.machines, d.machines); err != nil {
 		return false, err
 	}
@@ -66,6 +66,8 @@
 	}
 	time.Sleep(2 * time.Second)
 	t.end()
+	t.writeAll()
+	ds.writeAll(r)
 	late, lost := 0, 0
 	for _, k := range leaving {
 		for _, a := range k.arrived() {
--- a/review/_cases-2/pause.go
+++ b/review/_cases-2/pause.go
@@ -36,7 +36,7 @@
 		return false, err
 	}
 	defer ds.close()
-	d.configure(3, 0)
+	d.configure(0)
 	if err := d.startAll(r, d.machines, d.machines); err != nil {
 		return false, err
 	}
@@ -67,6 +67,8 @@
 	}
 	time.Sleep(time.Until(last.Add(askedPause)))
 	t.end()
+	t.writeAll()
+	ds.writeAll(r)
 	// A machine is known by the address to which the client sent the request.
 	from, until := make(map[string]time.Time), make(map[string]time.Time)
 	reached := make(map[string]int)
--- a/review/_cases-2/record.go
+++ b/review/_cases-2/record.go
@@ -3,8 +3,10 @@
 import (
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
 	"os"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -137,3 +139,34 @@
 	text, err := io.ReadAll(response.Body)
 	return answer{response.StatusCode, response.Header, string(text), err}
 }
+
+// writeAll writes all that was sent and answered, in the order of sending.
+func (t *traffic) writeAll() {
+	t.record.write("all client attempts: ID, machine, sent, answered, status")
+	ids := slices.SortedFunc(maps.Keys(t.sent), func(a, b string) int { return t.sent[a].at.Compare(t.sent[b].at) })
+	for _, id := range ids {
+		s := t.sent[id]
+		t.record.write("%s %s %s %s %d", id, s.address, t.record.at(s.at), t.record.at(s.answered), s.status)
+	}
+}
+
+// writeAll writes all that reached the backends.
+func (ds *desks) writeAll(r *record) {
+	r.write("all arrivals at backends: ID, backend, time, whether it ran, body")
+	for _, k := range ds.list {
+		for _, a := range k.arrived() {
+			r.write("%s %s %s %v %q", a.id, k.id, r.at(a.at), a.run, a.text)
+		}
+	}
+}
+
+// writeRuns writes all that the targets ran.
+func writeRuns(r *record, ledger *standin.Ledger) {
+	r.write("all runs at backends: ID, backend, time, request, body")
+	var all []standin.Run
+	ledger.All(func(_ string, runs []standin.Run) { all = append(all, runs...) })
+	slices.SortFunc(all, func(a, b standin.Run) int { return a.At.Compare(b.At) })
+	for _, run := range all {
+		r.write("%s %s %s %q %q", run.ID, run.Target, r.at(run.At), run.RequestLine, run.Body)
+	}
+}
--- a/review/_cases-2/refused.go
+++ b/review/_cases-2/refused.go
@@ -26,7 +26,7 @@
 		return false, err
 	}
 	defer ds.close()
-	d.configure(3, 0)
+	d.configure(0)
 	if err := d.startAll(r, d.machines, d.machines); err != nil {
 		return false, err
 	}
@@ -42,6 +42,8 @@
 	r.write("%s is well", grey.id)
 	time.Sleep(time.Second)
 	t.end()
+	t.writeAll()
+	ds.writeAll(r)
 	refused, booked := 0, make(map[string]int)
 	for _, k := range ds.list {
 		for _, a := range k.arrived() {
--- a/review/_cases-2/seeds.go
+++ b/review/_cases-2/seeds.go
@@ -47,7 +47,7 @@
 		}
 		return n
 	}
-	d.configure(3, 0)
+	d.configure(0)
 	running, seeds := d.machines[down:], d.machines[:down]
 	if !trouble {
 		seeds = running
@@ -89,6 +89,8 @@
 		time.Sleep(backFor)
 	}
 	orders.end()
+	orders.writeAll()
+	writeRuns(r, ledger)
 	lost := 0
 	for id, s := range orders.sent {
 		if len(ledger.Runs(id)) > 0 && s.status != http.StatusOK {
