--- a/review/_cases-2/gap.go
+++ b/review/_cases-2/gap.go
@@ -19,7 +19,7 @@
 // playGap takes one of two backends out right after the machine that reads the store
 // freezes. Its entry is removed, and it serves for drain_ms and a little longer.
 func playGap(r *record, trouble bool) (bool, error) {
-	d, err := newDeployment(3)
+	d, err := newDeployment(8)
 	if err != nil {
 		return false, err
 	}
