Tell the loss of the reader from an outage of the store

After two outages of the store in a row, live targets were given up.

Cause: any gap in the confirmations of the list in which half of the entries went, or one as long as the drain time, was taken for an outage of the store. In the case the reader was frozen and the store answered all the while. Ruled out: a late reading (1.9 s after the removal on all instances) and a wrong sum of the drain time.

Change: instances pass on whose calls to the store fail and since when. A gap is an outage if calls of two instances began to fail in it, or those of the one that ended it. Without an outage a missing target has left. The use of an expired entry ends on a read that shows it missing, not by a timer, so that another outage does not use up the time. An answer that is 0.5 s overdue counts as a failure, and the first call of a new reader does not wait.

Changed tests: cases of TestReplicas that mean an outage say so, and the same gaps without one are added. TestGapAfterStoreOutage expected the first read after a gap to wait for 0.7 s; it expects the short one, and that the gap is known as an outage.

--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -74,6 +74,7 @@
 	outOfService   *replicator.Replicator
 	moves          *replicator.Replicator
 	reader         *replicator.Reader
+	failures       *replicator.Failures
 	promoter       *promoter.Promoter
 	screener       *screener.Screener
 	keeper         *screener.Keeper
@@ -119,8 +120,10 @@
 		ColdPart:       c.coldPart,
 		LimitShare:     c.limitShare,
 		Changed:        func() { c.gossiper.TriggerRound() },
+		StoreReads:     c.targetReads,
 		MovesConfirmed: func() time.Time { return clock.Now().Add(-c.moves.Age()) },
 	})
+	c.failures = replicator.NewFailures(settings.Instance, clock, func() { c.gossiper.TriggerRound() })
 	operator := replicator.Rewriting{KeepMissing: true, Within: operatorRewriteTime}
 	c.config = c.newReplicator(adapter.Kinds.Configuration, 0, replicator.Rewriting{Later: adapter.LaterConfiguration, KeepMissing: true}, c.applyConfiguration)
 	c.targets = c.newReplicator(adapter.Kinds.Targets, 0, replicator.Rewriting{Later: adapter.LaterTarget, Within: targetRewriteTime}, c.applyTargets)
@@ -142,7 +145,7 @@
 			PeerAddress: settings.Listen.Peers, CallerAddress: settings.Listen.Callers, Capacity: settings.capacity(),
 		},
 		Fleet: settings.fleet(), Seeds: settings.Seeds, Clock: clock, Log: log,
-		Replicators:  []*replicator.Replicator{c.config, c.targets, c.outOfService, c.moves},
+		Replicators: []*replicator.Replicator{c.config, c.targets, c.outOfService, c.moves}, Failures: c.failures,
 		LocalNotices: c.localNotices, NoticesReceived: c.mergeNotices,
 		Serving: c.serving, Changed: c.peersChanged, Client: &http.Client{Transport: c.transport},
 	})
@@ -180,7 +183,7 @@
 // with each new state and starts a gossip round if peers need to know.
 func (c *Conductor) newReplicator(kind string, pause time.Duration, rewriting replicator.Rewriting, changed func(*replicator.State)) *replicator.Replicator {
 	return replicator.New(replicator.Settings{
-		Kind: kind, Source: c.adapter.Source, Clock: c.clock, Log: c.log, Pause: pause, Rewriting: rewriting,
+		Kind: kind, Source: c.adapter.Source, Clock: c.clock, Log: c.log, Pause: pause, Rewriting: rewriting, Failures: c.failures,
 		Changed: func(s *replicator.State) {
 			wasServing := c.serving()
 			if s.Restored {
@@ -263,7 +266,17 @@
 			delete(c.decodedTargets, name)
 		}
 	}
-	c.tracker.Update(entries, tracker.Recency{SeenAt: s.SeenAt, Gap: s.Gap.Length, GapEndedAt: s.Gap.EndedAt, Restored: s.Restored})
+	c.tracker.Update(entries, tracker.Recency{SeenAt: s.SeenAt, Gap: s.Gap.Length, GapEndedAt: s.Gap.EndedAt, StoreAway: s.Gap.StoreAway, Restored: s.Restored})
+}
+
+// targetReads returns the latest reads of the list of targets.
+func (c *Conductor) targetReads() tracker.StoreReads {
+	h := c.targets.Holding()
+	reads := tracker.StoreReads{ConfirmedAt: c.clock.Now().Add(-h.Age)}
+	if h.Gap.StoreAway || h.Gap.Failed > 0 {
+		reads.OutageEndedAt = h.Gap.EndedAt
+	}
+	return reads
 }
 
 // applyOutOfService applies the list of data centres that are out of service.
--- a/gossiper/exchange.go
+++ b/gossiper/exchange.go
@@ -36,6 +36,7 @@
 	response, err := g.client(address).Exchange(ctx, connect.NewRequest(&wire.ExchangeRequest{
 		Fleet: g.settings.Fleet, Receiver: address, Sender: self, Known: append(g.news(whole), g.suspicionOf(address)...), Holdings: g.holdings(),
 		Whole: whole || g.Size() == 1, Notices: g.notices(whole || g.Size() == 1), Digest: g.digest(self),
+		StoreFailures: g.storeFailures(),
 	}))
 	if err != nil {
 		g.settings.Log.Debug("gossiper: exchange failed", zap.String("Address", address), zap.Error(err))
@@ -51,6 +52,7 @@
 		return false
 	}
 	g.merge(m.Sender, m.Known)
+	g.mergeStoreFailures(m.StoreFailures, sentAt)
 	g.reconcile(address, m.Holdings, sentAt)
 	g.deliverNotices(m.Notices)
 	if !whole && len(m.Known) == 0 && m.Digest != g.digest(g.self()) && g.mayExchangeWhole() {
@@ -94,6 +96,7 @@
 	}
 	suspicion := g.suspicionOf(m.Sender.PeerAddress)
 	started := g.merge(m.Sender, m.Known)
+	g.mergeStoreFailures(m.StoreFailures, g.settings.Clock.Now())
 	if g.reconcile(m.Sender.PeerAddress, m.Holdings, time.Time{}) && g.Size() <= FullMeshLimit+1 {
 		// In a larger fleet this instance asks as many peers itself in each round.
 		g.askBack(m.Sender.PeerAddress)
@@ -102,6 +105,7 @@
 	self := g.self()
 	return connect.NewResponse(&wire.ExchangeResponse{
 		Sender: self, Known: append(g.news(m.Whole || started), suspicion...), Holdings: g.holdings(), Notices: g.notices(m.Whole || started), Digest: g.digest(self),
+		StoreFailures: g.storeFailures(),
 	}), nil
 }
 
--- a/gossiper/fetch.go
+++ b/gossiper/fetch.go
@@ -28,17 +28,18 @@
 	if held == nil || held.State() == nil {
 		return nil, connect.NewError(connect.CodeNotFound, fmt.Errorf("kind %q is not held", r.Msg.Kind))
 	}
-	// The age is read before the objects, which can only be newer.
-	age := ageMillis(held.Age())
+	// The ages are read before the objects, which can only be newer.
+	holding := held.Holding()
+	age, outageAge := ageMillis(holding.Age), g.outageAgeMillis(holding)
 	if c, ok := held.Since(replicator.Position{Era: r.Msg.AfterEra, Revision: r.Msg.After}); ok && r.Msg.After > 0 && r.Msg.After < c.Revision {
-		response := &wire.FetchResponse{Era: c.Era, Revision: c.Revision, AgeMs: age}
+		response := &wire.FetchResponse{Era: c.Era, Revision: c.Revision, AgeMs: age, OutageAgeMs: outageAge}
 		for _, change := range c.Changes {
 			response.Objects = append(response.Objects, toStoredObject(change.Object, change.Removed))
 		}
 		return connect.NewResponse(response), nil
 	}
 	l := held.Whole()
-	response := &wire.FetchResponse{Era: l.Era, Revision: l.Revision, AgeMs: age, Whole: true}
+	response := &wire.FetchResponse{Era: l.Era, Revision: l.Revision, AgeMs: age, OutageAgeMs: outageAge, Whole: true}
 	for _, o := range l.Objects {
 		response.Objects = append(response.Objects, toStoredObject(o, false))
 	}
@@ -98,7 +99,7 @@
 			fresher = fresher || own.Position == peer.Position && age+confirmationLag < own.Age
 			continue
 		}
-		r.Confirm(peer.Position, sentAt.Add(-age))
+		r.Confirm(peer.Position, readingOfPeer(sentAt, h.AgeMs, h.OutageAgeMs))
 	}
 	return fresher
 }
@@ -122,7 +123,7 @@
 	}
 	m := response.Msg
 	position := replicator.Position{Era: m.Era, Revision: m.Revision}
-	reading := replicator.Reading{At: sentAt.Add(-time.Duration(m.AgeMs) * time.Millisecond), FromPeer: true}
+	reading := readingOfPeer(sentAt, m.AgeMs, m.OutageAgeMs)
 	if m.Whole {
 		l := replicator.Listing{Position: position}
 		for _, o := range m.Objects {
@@ -141,6 +142,15 @@
 	r.Apply(after.Revision, c, reading)
 }
 
+// readingOfPeer returns the reading that the response to a request reports.
+func readingOfPeer(sentAt time.Time, ageMillis, outageAgeMillis int64) replicator.Reading {
+	reading := replicator.Reading{At: sentAt.Add(-time.Duration(ageMillis) * time.Millisecond), FromPeer: true}
+	if outageAgeMillis > 0 {
+		reading.OutageEndedAt = sentAt.Add(-time.Duration(outageAgeMillis) * time.Millisecond)
+	}
+	return reading
+}
+
 func fromStoredObject(o *wire.StoredObject) replicator.Object {
 	return replicator.Object{Name: o.Name, Revision: o.Revision, Created: o.Created, Value: o.Value}
 }
--- a/gossiper/fleet_test.go
+++ b/gossiper/fleet_test.go
@@ -36,6 +36,10 @@
 // memoryFleet is a fleet of gossipers that exchange messages in memory.
 type memoryFleet struct {
 	instances []*Gossiper
+	// store is what the instances read; nil if they read none. Drain is how long a target
+	// that leaves goes on serving.
+	store *memoryStore
+	drain time.Duration
 	// promoters are those of the instances in the same order.
 	promoters []*promoter.Promoter
 	screeners []*screener.Screener
@@ -55,7 +59,12 @@
 // newMemoryFleet starts a fleet. The first instances of the first data centres are
 // the seeds.
 func newMemoryFleet(dataCentres, each int) *memoryFleet {
-	f := &memoryFleet{handlers: make(map[string]http.Handler), dark: make(map[string]bool), cut: make(map[jujubegate.DataCentre]bool)}
+	return newMemoryFleetOf(dataCentres, each, nil, drainTime)
+}
+
+// newMemoryFleetOf starts a fleet that reads a store, if it is not nil.
+func newMemoryFleetOf(dataCentres, each int, store *memoryStore, drain time.Duration) *memoryFleet {
+	f := &memoryFleet{store: store, drain: drain, handlers: make(map[string]http.Handler), dark: make(map[string]bool), cut: make(map[jujubegate.DataCentre]bool)}
 	peers := largeFleet(dataCentres, each)
 	seeds := []string{peers[0].PeerAddress, peers[each%len(peers)].PeerAddress, peers[len(peers)-1].PeerAddress}
 	for _, p := range peers {
@@ -67,8 +76,27 @@
 func (f *memoryFleet) start(p Peer, seeds []string) {
 	clock := clockwork.NewRealClock()
 	p.Incarnation, p.CallerAddress, p.Capacity = 1, p.PeerAddress, 200
-	r := replicator.New(replicator.Settings{Kind: "k", Clock: clock, Log: zap.NewNop(), Changed: func(*replicator.State) {}})
 	var g *Gossiper
+	failures := replicator.NewFailures(p.Instance, clock, func() { g.TriggerRound() })
+	var source replicator.Source
+	if f.store != nil {
+		source = f.store.source(p.Instance)
+	}
+	r := replicator.New(replicator.Settings{Kind: leadKind, Source: source, Clock: clock, Log: zap.NewNop(), Failures: failures, Changed: func(*replicator.State) {}})
+	var targets *tracker.Tracker
+	replicators := []*replicator.Replicator{r}
+	if f.store != nil {
+		apply := updateTargets(func() *tracker.Tracker { return targets })
+		replicators = append(replicators, replicator.New(replicator.Settings{
+			Kind: targetKind, Source: source, Clock: clock, Log: zap.NewNop(), Failures: failures,
+			Changed: func(s *replicator.State) {
+				apply(s)
+				if !s.FromPeer || g.Size() > FullMeshLimit {
+					g.TriggerRound()
+				}
+			},
+		}))
+	}
 	moves := promoter.New(promoter.Settings{
 		Clock: clock, Log: zap.NewNop(), Instance: p.Instance, Incarnation: p.Incarnation, FleetSize: func() int { return g.Size() },
 		Rank:  func() int { return g.Rank("k") },
@@ -81,8 +109,16 @@
 	screen := screener.New(screener.Settings{
 		Clock: clock, Log: zap.NewNop(), Changed: func() { g.TriggerRound() },
 	})
-	targets := tracker.New(tracker.Settings{
-		Clock: clock, Log: zap.NewNop(), Drain: drainTime, Changed: func() { g.TriggerRound() },
+	targets = tracker.New(tracker.Settings{
+		Clock: clock, Log: zap.NewNop(), Drain: f.drain,
+		StoreReads: func() tracker.StoreReads {
+			h := replicators[len(replicators)-1].Holding()
+			reads := tracker.StoreReads{ConfirmedAt: clock.Now().Add(-h.Age)}
+			if h.Gap.StoreAway || h.Gap.Failed > 0 {
+				reads.OutageEndedAt = h.Gap.EndedAt
+			}
+			return reads
+		}, Changed: func() { g.TriggerRound() },
 		NewPool: func(e tracker.Entry, bound int) *connector.Pool {
 			return connector.New(connector.Settings{Target: e.Address, TargetID: e.ID, Names: &connector.HeaderNames{}, Clock: clock}, bound)
 		},
@@ -97,7 +133,7 @@
 			screen.Merge(n.Screenings)
 			targets.MergeDepartures(n.Departures)
 		},
-		Self: p, Fleet: "f", Seeds: seeds, Clock: clock, Log: zap.NewNop(), Replicators: []*replicator.Replicator{r},
+		Self: p, Fleet: "f", Seeds: seeds, Clock: clock, Log: zap.NewNop(), Replicators: replicators, Failures: failures,
 		Serving: func() bool { return true }, Changed: func([]Peer) {}, Client: &memoryClient{f, p},
 	})
 	_, handler := g.Handler()
@@ -112,6 +148,12 @@
 	f.cancels = append(f.cancels, cancel)
 	f.running.Go(func() { g.Run(ctx) })
 	f.running.Go(func() { moves.Run(ctx) })
+	if f.store != nil {
+		var reader *replicator.Reader
+		reader = replicator.NewReader(clock, func() time.Duration { return g.ReadAfter(leadKind, reader.Complete()) }, r, replicators[1:]...)
+		f.running.Go(func() { targets.Run(ctx) })
+		f.running.Go(func() { reader.Run(ctx) })
+	}
 }
 
 func (f *memoryFleet) stop() {
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -57,6 +57,8 @@
 	Log   *zap.Logger
 	// Replicators hold the objects that are passed on to peers, one for each kind.
 	Replicators []*replicator.Replicator
+	// Failures holds which instances failed to reach the store.
+	Failures *replicator.Failures
 	// Serving reports whether this instance takes new requests.
 	Serving func() bool
 	// Changed is called with the live peers after each change.
@@ -95,6 +97,9 @@
 
 // New returns a gossiper that knows only itself and the seeds.
 func New(settings Settings) *Gossiper {
+	if settings.Failures == nil {
+		settings.Failures = replicator.NewFailures(settings.Self.Instance, settings.Clock, func() {})
+	}
 	g := &Gossiper{
 		settings: settings, members: members{log: settings.Log, records: make(map[string]*record)},
 		contacts: make(map[string]struct{}), fetching: make(map[string]bool),
@@ -258,10 +263,19 @@
 		h := r.Holding()
 		held = append(held, &wire.Holding{
 			Kind: r.Kind(), Era: h.Era, Revision: h.Revision, Kept: int64(h.Kept), AgeMs: ageMillis(h.Age), Failing: r.Failing(),
+			OutageAgeMs: g.outageAgeMillis(h),
 		})
 	}
 	return held
 }
 
+// outageAgeMillis returns the age of a recent outage of the store; 0 if there was none.
+func (g *Gossiper) outageAgeMillis(h replicator.Holding) int64 {
+	if !h.Gap.StoreAway {
+		return 0
+	}
+	return max(ageMillis(g.settings.Clock.Since(h.Gap.EndedAt)), 1)
+}
+
 // ageMillis returns an age in milliseconds, rounded up so that it is not too short.
 func ageMillis(age time.Duration) int64 { return (age + time.Millisecond - 1).Milliseconds() }
--- a/gossiper/turn.go
+++ b/gossiper/turn.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"jujubegate.example/jujubegate"
 )
 
 const (
@@ -68,6 +70,7 @@
 // other live instances.
 func (g *Gossiper) rank(kind string) (rank, others int) {
 	ownWeight := weight(kind, string(g.settings.Self.Instance))
+	failing := g.failingElsewhere()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for name, r := range g.members.records {
@@ -75,7 +78,7 @@
 			continue
 		}
 		others++
-		if !g.failing[kind].Has(r.peering.PeerAddress) && weight(kind, name) > ownWeight {
+		if !g.failing[kind].Has(r.peering.PeerAddress) && !failing.Has(jujubegate.Instance(name)) && weight(kind, name) > ownWeight {
 			rank++
 		}
 	}
--- a/replicator/reader.go
+++ b/replicator/reader.go
@@ -13,9 +13,15 @@
 	// watchWait is how long a watch waits for changes. A watch can miss changes
 	// without an error; the next one returns them.
 	watchWait = 700 * time.Millisecond
-	// followWait is how long a watch of another kind than the lead waits: its changes
-	// are in the store already.
+	// followWait is how long a watch waits whose changes are in the store already: that
+	// of another kind than the lead, or the first one after a gap.
 	followWait = time.Millisecond
+	// overdueAfter is how long the answer to a call may take beyond its wait before other
+	// instances are told that the store does not answer. A slow store takes 0.2 s.
+	overdueAfter = 500 * time.Millisecond
+	// maxTimerDelay is the longest delay of a timer by load. After a longer one this
+	// process was stopped, and the answer may have come long ago.
+	maxTimerDelay = 250 * time.Millisecond
 	// minBackoff and maxBackoff bound the pause after a failed call.
 	minBackoff = 100 * time.Millisecond
 	maxBackoff = time.Second
@@ -73,10 +79,11 @@
 	for ctx.Err() == nil {
 		rd.endRewriting()
 		if delay := rd.turnIn(); delay > 0 {
+			rd.lead.settings.Failures.EndSeriesBefore(rd.clock.Now().Add(-rd.lead.Age()))
 			rd.sleep(ctx, min(delay, rd.checkPeriod()))
 			continue
 		}
-		err := rd.read(ctx)
+		err := rd.readInTime(ctx)
 		switch {
 		case err == nil:
 			rd.lead.recordSuccess()
@@ -104,9 +111,31 @@
 	return startCheckPeriod
 }
 
+// readInTime reads all kinds. While the store owes an answer for long, this counts as a
+// failure, so that another instance reads meanwhile.
+func (rd *Reader) readInTime(ctx context.Context) error {
+	wait := watchWait
+	if rd.lead.Age() > maxConfirmationInterval {
+		// Changes since the last confirmation must be known at once.
+		wait = followWait
+	}
+	due := rd.clock.Now().Add(wait + overdueAfter)
+	done := make(chan error, 1)
+	go func() { done <- rd.read(ctx, wait) }()
+	select {
+	case err := <-done:
+		return err
+	case <-rd.clock.After(wait + overdueAfter):
+	}
+	if rd.clock.Since(due) < maxTimerDelay {
+		rd.lead.recordFailure(errOverdue)
+	}
+	return <-done
+}
+
 // read watches the lead, then reads the other kinds that may have changed.
-func (rd *Reader) read(ctx context.Context) error {
-	read, err := rd.lead.read(ctx, watchWait, 0)
+func (rd *Reader) read(ctx context.Context, wait time.Duration) error {
+	read, err := rd.lead.read(ctx, wait, 0)
 	if err != nil {
 		return fmt.Errorf("read %s: %w", rd.lead.Kind(), err)
 	}
--- a/replicator/reader_test.go
+++ b/replicator/reader_test.go
@@ -165,7 +165,7 @@
 		lead, follower := newReplicator(source), newReplicator(source)
 		lead.settings.Kind, follower.settings.Kind = "lead", "follower"
 		reader := NewReader(lead.settings.Clock, func() time.Duration { return 0 }, lead, follower)
-		if err := reader.read(t.Context()); err != nil {
+		if err := reader.read(t.Context(), watchWait); err != nil {
 			t.Fatal(err)
 		}
 		var answeredAt time.Time
@@ -175,10 +175,10 @@
 			time.Sleep(delay / 2)
 			store.change("follower")
 			time.Sleep(delay / 2)
-			lead.Confirm(lead.Position(), time.Now())
+			lead.Confirm(lead.Position(), Reading{At: time.Now(), FromPeer: true})
 			return c, err
 		}
-		if err := reader.read(t.Context()); err != nil {
+		if err := reader.read(t.Context(), watchWait); err != nil {
 			t.Fatal(err)
 		}
 		if age, sinceAnswer := follower.Age(), time.Since(answeredAt); age < sinceAnswer {
--- a/replicator/replicator.go
+++ b/replicator/replicator.go
@@ -40,6 +40,8 @@
 	Pause time.Duration
 	// Rewriting says what counts after the store came back from an older copy.
 	Rewriting Rewriting
+	// Failures is shared by the replicators of all kinds.
+	Failures *Failures
 	// Changed is called with each new state, never concurrently.
 	Changed func(*State)
 }
@@ -68,13 +70,22 @@
 	At time.Time
 	// FromPeer is set if a peer read the store.
 	FromPeer bool
+	// OutageEndedAt is when a recent outage of the store ended, as far as the peer
+	// knows; zero if there was none.
+	OutageEndedAt time.Time
 }
 
-// Gap is an interval without confirmations. Objects can expire in it although
-// their owners are live.
+// Gap is an interval without confirmations.
 type Gap struct {
 	Length  time.Duration
 	EndedAt time.Time
+	// Failed is the number of instances whose calls to the store began to fail in the
+	// gap, as far as is known.
+	Failed int
+	// StoreAway is set if the store could not be reached in the gap, so that objects
+	// can have expired although their owners are live. Without it, the gap is due to
+	// the instance that read the store for all, for example because it was lost.
+	StoreAway bool
 }
 
 // Replicator keeps the copy of one kind and a short history of its changes. It is
@@ -89,7 +100,9 @@
 	// that found nothing newer than the state. Without a state it is when this
 	// replicator was created.
 	confirmedAt time.Time
-	gap         Gap
+	// gap is the latest gap, and gapBeganAt the confirmation before it.
+	gap        Gap
+	gapBeganAt time.Time
 	// history holds the latest changes; historyStart is the revision before them.
 	history      []historyEntry
 	historyStart int64
@@ -114,6 +127,9 @@
 
 // New returns a replicator without a state.
 func New(settings Settings) *Replicator {
+	if settings.Failures == nil {
+		settings.Failures = NewFailures("", settings.Clock, func() {})
+	}
 	now := settings.Clock.Now()
 	return &Replicator{
 		settings: settings, confirmedAt: now, eraBeganAt: now,
@@ -154,6 +170,8 @@
 type Holding struct {
 	Position
 	Age time.Duration
+	// Gap is the latest gap; zero if there was none recently.
+	Gap Gap
 	// Kept is the number of objects for which the state differs from the store, as
 	// this came back from an older copy; 0 if the time for that is over.
 	Kept int
@@ -163,7 +181,7 @@
 func (r *Replicator) Holding() Holding {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return Holding{r.Position(), r.settings.Clock.Now().Sub(r.confirmedAt), len(r.overrides)}
+	return Holding{r.Position(), r.settings.Clock.Now().Sub(r.confirmedAt), r.recentGap(), len(r.overrides)}
 }
 
 // Behind reports whether a peer with the given holding has objects that are missing
@@ -272,11 +290,14 @@
 	if own := r.positionLocked(); r.state.Load() == nil || own.Era != c.Era || own.Revision < c.Revision {
 		return false
 	}
-	r.confirm(c.at)
+	r.confirm(Reading{At: c.at})
 	return true
 }
 
 func (r *Replicator) recordFailure(err error) {
+	if !errors.Is(err, ErrOutdated) {
+		r.settings.Failures.Record()
+	}
 	if !r.failing.Swap(true) {
 		r.settings.Log.Warn("replicator: store read failed", zap.String("Kind", r.settings.Kind),
 			zap.Int64("Revision", r.Revision()), zap.Duration("Age", r.Age()), zap.Error(err))
@@ -284,40 +305,33 @@
 }
 
 func (r *Replicator) recordSuccess() {
+	r.settings.Failures.EndSeries()
 	if r.failing.Swap(false) {
 		r.settings.Log.Info("replicator: store reads succeed again", zap.String("Kind", r.settings.Kind), zap.Int64("Revision", r.Revision()))
 	}
 }
 
-// Confirm records that a peer's state at a position was confirmed at the given time.
-// It has no effect if the state here has another position.
-func (r *Replicator) Confirm(p Position, at time.Time) {
+// Confirm records that a peer's state at a position was confirmed by a reading. It has
+// no effect if the state here has another position.
+func (r *Replicator) Confirm(p Position, reading Reading) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if own := r.Position(); r.state.Load() != nil && p.withDefaultEra(own.Era) == own {
-		r.confirm(at)
+		r.confirm(reading)
 	}
 }
 
 // confirm records a confirmation, and a gap if the one before was too long ago.
 // The caller holds mu.
-func (r *Replicator) confirm(at time.Time) {
-	if !at.After(r.confirmedAt) {
+func (r *Replicator) confirm(reading Reading) {
+	if !reading.At.After(r.confirmedAt) {
 		return
 	}
-	if length := at.Sub(r.confirmedAt); length > maxConfirmationInterval {
-		r.gap = Gap{Length: length, EndedAt: r.settings.Clock.Now()}
-	}
-	r.confirmedAt = at
-}
-
-// recentGap returns the latest gap, or a zero one if it ended gapRetention ago or
-// earlier.
-func (r *Replicator) recentGap() Gap {
-	if r.settings.Clock.Now().Sub(r.gap.EndedAt) >= gapRetention {
-		return Gap{}
+	before := r.confirmedAt
+	r.confirmedAt = reading.At
+	if length := reading.At.Sub(before); length > maxConfirmationInterval {
+		r.recordGap(before, length, reading)
 	}
-	return r.gap
 }
 
 // Replace applies a listing, unless the state is newer.
@@ -339,7 +353,7 @@
 		// Until now the age was the time without a state. The state may be older.
 		r.confirmedAt = reading.At
 	}
-	r.confirm(reading.At)
+	r.confirm(reading)
 	if old != nil && position == old.Position {
 		if r.adopt(l.Kept) {
 			r.publish(&State{Position: position, FromPeer: reading.FromPeer, SeenAt: seenAt})
@@ -383,7 +397,7 @@
 		return
 	}
 	seenAt := r.confirmedAt
-	r.confirm(reading.At)
+	r.confirm(reading)
 	r.cursor = max(r.cursor, c.Revision)
 	if len(c.Changes) == 0 || c.Revision == old.Revision {
 		// Changes of other kinds raise the store's revision too. The state keeps
@@ -457,6 +471,6 @@
 	r.state.Store(s)
 	r.settings.Log.Info("replicator: state applied", zap.String("Kind", r.settings.Kind),
 		zap.Int64("Era", s.Era), zap.Int64("Revision", s.Revision), zap.Int("Objects", len(s.Objects)), zap.Int("Kept", len(r.overrides)),
-		zap.Bool("FromPeer", s.FromPeer), zap.Duration("Gap", s.Gap.Length))
+		zap.Bool("FromPeer", s.FromPeer), zap.Duration("Gap", s.Gap.Length), zap.Bool("StoreAway", s.Gap.StoreAway))
 	r.settings.Changed(s)
 }
--- a/replicator/replicator_test.go
+++ b/replicator/replicator_test.go
@@ -103,7 +103,7 @@
 		}()
 		for range 20 {
 			time.Sleep(500 * time.Millisecond)
-			r.Confirm(Position{Revision: 5}, time.Now().Add(-100*time.Millisecond))
+			r.Confirm(Position{Revision: 5}, Reading{At: time.Now().Add(-100 * time.Millisecond), FromPeer: true})
 		}
 		if n := calls.Load(); n != 0 {
 			t.Errorf("%d calls while a peer confirms, want none", n)
@@ -157,7 +157,8 @@
 		time.Sleep(4 * time.Second)
 		revision.Store(7)
 		down.Store(false)
-		if s := <-states; s.Gap.Length < 4*time.Second || time.Since(s.Gap.EndedAt) > time.Millisecond || time.Since(s.SeenAt) != s.Gap.Length+watchWait {
+		// The first watch after a gap waits for followWait.
+		if s := <-states; s.Gap.Length < 4*time.Second || !s.Gap.StoreAway || time.Since(s.Gap.EndedAt) > time.Millisecond || time.Since(s.SeenAt) != s.Gap.Length+followWait {
 			t.Errorf("a change right after an outage of 4 s has a gap of %v that ended %v ago, and a confirmation %v ago", s.Gap.Length, time.Since(s.Gap.EndedAt), time.Since(s.SeenAt))
 		}
 		stop()
--- a/replicator/source.go
+++ b/replicator/source.go
@@ -14,6 +14,8 @@
 	// ErrOutdated is returned for an answer of the store that is older than what it
 	// answered before.
 	ErrOutdated = errors.New("the store's answer is outdated")
+
+	errOverdue = errors.New("the store's answer is overdue")
 )
 
 // Object is one object of the store.
--- a/tracker/replica.go
+++ b/tracker/replica.go
@@ -46,12 +46,9 @@
 	misdirected atomic.Bool
 	// leaving is set once the target has said that it leaves.
 	leaving atomic.Bool
-	// usableUntil is when a target that is no longer listed gets no more requests and
-	// is removed; zero while it is listed. Tracker.mu guards it and probablyGone.
-	usableUntil time.Time
-	// probablyGone is set if the target has probably ended. It gets requests only
-	// if its service has no other targets.
-	probablyGone bool
+	// lapse says for how long a target that is no longer listed may be used; nil while it
+	// is listed. Tracker.mu guards it.
+	lapse *lapse
 	// heldSince is when a target with a version that is new to its service was listed;
 	// zero once the moves to versions are known. Tracker.mu guards it.
 	heldSince time.Time
@@ -81,6 +78,15 @@
 // Entry returns the newest entry.
 func (r *Replica) Entry() *Entry { return r.entry.Load() }
 
+// lapseExpiry returns when the connections expire because the target is no longer
+// listed; zero if they do not.
+func (r *Replica) lapseExpiry() time.Time {
+	if r.lapse == nil {
+		return time.Time{}
+	}
+	return r.lapse.expiry()
+}
+
 // Usable reports whether the target may get requests now. A call that began earlier
 // may hold replicas that have become unusable since.
 func (r *Replica) Usable(now time.Time) bool { return !r.Pool.Expired(now) }
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -43,6 +43,9 @@
 	// MovesConfirmed returns when the list of moves to versions was last known to be
 	// complete; nil means always.
 	MovesConfirmed func() time.Time
+	// StoreReads returns the latest reads of the list of targets; nil means that it is
+	// confirmed all the time.
+	StoreReads func() StoreReads
 	// LimitShare returns this instance's part of the limit that a target names, of
 	// which ordinal is the place among the listed targets of its service by ID.
 	LimitShare func(ordinal int, perSecond float64) LimitShare
@@ -142,7 +145,7 @@
 	}
 	var missing []*Replica
 	for id, r := range t.replicas {
-		if _, ok := listed[id]; !ok && r.usableUntil.IsZero() {
+		if _, ok := listed[id]; !ok && r.lapse == nil {
 			missing = append(missing, r)
 		}
 	}
@@ -169,6 +172,8 @@
 
 func (t *Tracker) sweep() {
 	now := t.settings.Clock.Now()
+	// Asked without mu, since a new list is applied under the lock that this takes.
+	reads := t.storeReads(now)
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.forgetLimits(now)
@@ -178,7 +183,13 @@
 		if t.idleTimeout > 0 {
 			r.Pool.CloseIdle(t.idleTimeout)
 		}
-		if !r.usableUntil.IsZero() && !now.Before(r.usableUntil) {
+		if r.lapse == nil {
+			continue
+		}
+		if l := r.lapse.withReads(reads); l != *r.lapse {
+			r.lapse = &l
+		}
+		if r.lapse.over(now, reads) {
 			t.remove(id, r, "no longer listed")
 			changed = true
 		}
@@ -214,7 +225,7 @@
 		return
 	}
 	old := *r.Entry()
-	r.usableUntil, r.probablyGone = time.Time{}, false
+	r.lapse = nil
 	if old == e {
 		return
 	}
@@ -253,20 +264,20 @@
 	}
 }
 
-// publish replaces the view. Targets that are probably gone are included only for
+// publish replaces the view. Targets that have probably left are included only for
 // services without others. Requests that wait for a connection to a target that is
 // not in the view any more are failed, so that they can be sent elsewhere.
 func (t *Tracker) publish() {
 	now := t.settings.Clock.Now()
 	v := &view{services: make(map[jujubegate.Service][]*Replica)}
-	probablyGone, leaving := make(map[jujubegate.Service][]*Replica), make(map[jujubegate.Service][]*Replica)
+	left, leaving := make(map[jujubegate.Service][]*Replica), make(map[jujubegate.Service][]*Replica)
 	for _, r := range t.replicas {
 		e := r.Entry()
 		if e.Draining || r.misdirected.Load() || t.outOfService.Has(e.DataCentre) {
 			r.Pool.SetExpiry(now)
 			continue
 		}
-		r.Pool.SetExpiry(r.usableUntil)
+		r.Pool.SetExpiry(r.lapseExpiry())
 		if !r.heldSince.IsZero() {
 			continue
 		}
@@ -279,13 +290,13 @@
 			continue
 		}
 		switch {
-		case r.probablyGone:
-			probablyGone[e.Service] = append(probablyGone[e.Service], r)
+		case r.lapse != nil && !r.lapse.expired:
+			left[e.Service] = append(left[e.Service], r)
 		default:
 			v.services[e.Service] = append(v.services[e.Service], r)
 		}
 	}
-	for _, lastResort := range []map[jujubegate.Service][]*Replica{probablyGone, leaving} {
+	for _, lastResort := range []map[jujubegate.Service][]*Replica{left, leaving} {
 		for service, list := range lastResort {
 			if len(v.services[service]) == 0 {
 				v.services[service] = list
--- a/tracker/tracker_test.go
+++ b/tracker/tracker_test.go
@@ -47,11 +47,18 @@
 // ago returns the Recency of a list that was confirmed d ago, without a gap.
 func ago(c *clockwork.FakeClock, d time.Duration) Recency { return Recency{SeenAt: c.Now().Add(-d)} }
 
-// afterGap returns the Recency right after a gap.
+// afterGap returns the Recency right after a gap in which the store could be reached.
 func afterGap(c *clockwork.FakeClock, length time.Duration) Recency {
 	return Recency{SeenAt: c.Now().Add(-length), Gap: length, GapEndedAt: c.Now()}
 }
 
+// afterOutage returns the Recency right after an outage of the store.
+func afterOutage(c *clockwork.FakeClock, length time.Duration) Recency {
+	r := afterGap(c, length)
+	r.StoreAway = true
+	return r
+}
+
 func TestReplicas(t *testing.T) {
 	// Guards against requests to targets that are draining, out of service, gone or
 	// replaced by another one at their address, and against dropping live targets
@@ -89,24 +96,38 @@
 			c.Advance(time.Second)
 			t.sweep()
 		}, 0},
-		{"all expired in a gap", func(t *Tracker, c *clockwork.FakeClock) {
-			t.Update(nil, afterGap(c, 2*time.Second))
+		{"all expired in an outage", func(t *Tracker, c *clockwork.FakeClock) {
+			t.Update(nil, afterOutage(c, 2*time.Second))
 			c.Advance(2500 * time.Millisecond)
 			t.sweep()
 		}, 2},
-		{"all expired in a gap and did not return", func(t *Tracker, c *clockwork.FakeClock) {
-			t.Update(nil, afterGap(c, 2*time.Second))
+		{"all expired in an outage and did not return", func(t *Tracker, c *clockwork.FakeClock) {
+			t.Update(nil, afterOutage(c, 2*time.Second))
 			c.Advance(2800 * time.Millisecond)
 			t.sweep()
 		}, 0},
-		{"one expired in a long gap", func(t *Tracker, c *clockwork.FakeClock) { t.Update([]Entry{entry(0)}, afterGap(c, 4*time.Second)) }, 2},
-		{"one expired in a long gap and did not return", func(t *Tracker, c *clockwork.FakeClock) {
+		{"one is gone after a gap with the store there", func(t *Tracker, c *clockwork.FakeClock) {
+			t.Update([]Entry{entry(0)}, afterGap(c, 2*time.Second))
+			c.Advance(drainTime - drainMargin - 2*time.Second)
+			t.sweep()
+		}, 1},
+		{"all are gone after a gap with the store there", func(t *Tracker, c *clockwork.FakeClock) {
+			t.Update(nil, afterGap(c, 2*time.Second))
+			c.Advance(drainTime - drainMargin - 2*time.Second)
+			t.sweep()
+		}, 0},
+		{"one is gone after a long gap with the store there", func(t *Tracker, c *clockwork.FakeClock) {
 			t.Update([]Entry{entry(0)}, afterGap(c, 4*time.Second))
+			t.sweep()
+		}, 1},
+		{"one expired in a long outage", func(t *Tracker, c *clockwork.FakeClock) { t.Update([]Entry{entry(0)}, afterOutage(c, 4*time.Second)) }, 2},
+		{"one expired in a long outage and did not return", func(t *Tracker, c *clockwork.FakeClock) {
+			t.Update([]Entry{entry(0)}, afterOutage(c, 4*time.Second))
 			c.Advance(2800 * time.Millisecond)
 			t.sweep()
 		}, 1},
-		{"one expired in a long gap and returned", func(t *Tracker, c *clockwork.FakeClock) {
-			t.Update([]Entry{entry(0)}, afterGap(c, 4*time.Second))
+		{"one expired in a long outage and returned", func(t *Tracker, c *clockwork.FakeClock) {
+			t.Update([]Entry{entry(0)}, afterOutage(c, 4*time.Second))
 			c.Advance(time.Second)
 			t.Update([]Entry{entry(0), entry(1)}, ago(c, time.Second))
 			c.Advance(2 * time.Second)
