Do not pass on a promise that the target did not give

Cause: a target that fails an order with a 503 of its own was answered for by that status. To a target it is a failure unless a header says more; to callers 408, 421, 425, 429 and 503 mean "not run". Ruled out: that the instance took the answer for a refusal; the attempt in its log ended with Answered, and only the header sets NotRun.

Change: the outcome of such an order is unknown. The caller gets 502 without the signature, the log keeps the status of the target.

The stand-in of a target can fail with any bytes.

--- a/receiver/receiver.go
+++ b/receiver/receiver.go
@@ -393,6 +393,8 @@
 		return &refusal{http.StatusServiceUnavailable, reason, "no target could take the request", shedRetryAfter}
 	case reason == jujubegate.DeadlinePassed || reason == jujubegate.Cancelled:
 		return &refusal{http.StatusGatewayTimeout, reason, "no answer in time", 0}
+	case reason == jujubegate.TargetError:
+		return &refusal{http.StatusBadGateway, reason, "the target failed the request, which may have run", 0}
 	}
 	return &refusal{http.StatusBadGateway, reason, "the request may have run, but has no answer", 0}
 }
--- a/sender/result.go
+++ b/sender/result.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net/http"
 
 	"jujubegate.example/jujubegate/balancer"
 	"jujubegate.example/jujubegate/connector"
@@ -29,6 +30,17 @@
 	return Answered
 }
 
+// promisesNotRun reports whether callers take a status for the word that the request has
+// not run, and send it again. A target says so by the header that sets Answer.NotRun; its
+// status alone says nothing.
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooEarly, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
 func isCancellation(err error) bool {
 	return errors.Is(err, context.Canceled) || errors.Is(err, context.DeadlineExceeded)
 }
--- a/sender/run.go
+++ b/sender/run.go
@@ -301,6 +301,10 @@
 	attempt.TargetEnded = c.ended
 	switch c.result {
 	case Answered:
+		if !r.call.Route.Idempotent && promisesNotRun(c.answer.Status) {
+			r.mayHaveRun = true
+			return r.noAnswer(jujubegate.TargetError), true
+		}
 		if c.answer.Status < 500 || !r.call.Route.Idempotent {
 			return r.answered(c), true
 		}
--- a/sender/sender_test.go
+++ b/sender/sender_test.go
@@ -308,3 +308,58 @@
 		}
 	})
 }
+
+func TestTargetFailsWithPromise(t *testing.T) {
+	// Guards against an order that ran and is answered by a status that promises that it
+	// has not: a failing target may answer 503 or 429 without saying so, and the caller
+	// then sends the order again.
+	const (
+		answer = iota
+		noAnswer
+		refused
+	)
+	cases := []struct {
+		status     int
+		heads      string
+		idempotent bool
+		want       int
+	}{
+		{503, "", false, noAnswer},
+		{503, "Retry-After: 1\r\n", false, noAnswer},
+		{429, "", false, noAnswer},
+		{408, "", false, noAnswer},
+		{425, "", false, noAnswer},
+		{503, "X-Not-Run: 1\r\n", false, refused},
+		{429, "X-Not-Run: 1\r\n", false, refused},
+		{500, "", false, answer},
+		{504, "", false, answer},
+		{404, "", false, answer},
+		{503, "", true, answer},
+		{429, "", true, answer},
+	}
+	for _, c := range cases {
+		t.Run(fmt.Sprint(c.status, c.heads, c.idempotent), func(t *testing.T) {
+			f := newFixture(t, 10, func(id string) string {
+				return fmt.Sprintf("HTTP/1.1 %d No\r\nX-Id: %s\r\nX-Signature: f\r\n%sContent-Length: 2\r\n\r\nno", c.status, id, c.heads)
+			})
+			r := f.send(c.idempotent, 2, time.Second)
+			switch c.want {
+			case answer:
+				if !r.OK || r.Answer.Status != c.status {
+					t.Errorf("OK %v with status %d, want the target's answer", r.OK, r.Answer.Status)
+				}
+			case noAnswer:
+				if r.OK || r.Outcome != jujubegate.Unknown || r.Reason != jujubegate.TargetError || r.RetryAfter != 0 {
+					t.Errorf("OK %v, %v, %v, to be repeated after %v, want an unknown outcome", r.OK, r.Outcome, r.Reason, r.RetryAfter)
+				}
+				if n := f.runs[0].Load(); n != 1 || r.Attempts[0].Status != c.status {
+					t.Errorf("sent %d times, status %d noted, want once and %d", n, r.Attempts[0].Status, c.status)
+				}
+			case refused:
+				if r.OK || r.Outcome != jujubegate.NotRun {
+					t.Errorf("OK %v, %v, want a refusal as not run", r.OK, r.Outcome)
+				}
+			}
+		})
+	}
+}
