--- a/connector/connection.go
+++ b/connector/connection.go
@@ -19,16 +19,9 @@
 	// maxAnswerBytes bounds the body of an answer unless its request sets another
 	// limit. Memory bounds the large bodies of all connections together.
 	maxAnswerBytes = 8 << 20
-	// maxHeadBytes bounds the status line and the headers of an answer, maxHeaders
-	// their number and maxHeaderBytes the name and value of one.
-	maxHeadBytes   = 32 << 10
-	maxHeaders     = 128
-	maxHeaderBytes = 16 << 10
 	// maxOverheadBytes bounds the sizes and extensions of the chunks of a body and
 	// its trailers.
 	maxOverheadBytes = 64 << 10
-	// maxInterim is how many informational answers may precede an answer.
-	maxInterim = 4
 	// maxForeignAnswers is how many answers to other requests are skipped before the
 	// expected one, and maxForeignBytes bounds the body of each. More of them mean
 	// that the target is broken.
@@ -43,9 +36,7 @@
 var (
 	errIdleBytes = errors.New("target sent data while no request was in flight")
 	errForeign   = errors.New("target answered only other requests")
-	errInterim   = errors.New("target sent too many informational answers")
 	errNoID      = errors.New("target refused a request without saying which one")
-	errHeaders   = errors.New("target sent too many or too large headers")
 )
 
 // exchange is one request in flight and its answer.
@@ -234,37 +225,6 @@
 	return res, foreign
 }
 
-// readHead reads the head of an answer after those of informational ones.
-func readHead(r *answerReader, method string) (*http.Response, error) {
-	for range maxInterim + 1 {
-		r.meter.allow(maxHeadBytes)
-		response, err := http.ReadResponse(r.Reader, &http.Request{Method: method})
-		if err != nil {
-			return nil, err
-		}
-		if err := checkHeaders(response.Header); err != nil {
-			return nil, err
-		}
-		if response.StatusCode >= http.StatusOK {
-			return response, nil
-		}
-	}
-	return nil, errInterim
-}
-
-// checkHeaders checks the number and the sizes of headers.
-func checkHeaders(h http.Header) error {
-	n := 0
-	for name, values := range h {
-		for _, value := range values {
-			if n++; n > maxHeaders || len(name)+len(value) > maxHeaderBytes {
-				return errHeaders
-			}
-		}
-	}
-	return nil
-}
-
 // isRefusal reports whether an answer says that the request did not run.
 func (c *connection) isRefusal(response *http.Response) bool {
 	return response.Header.Get(c.names.NotRun) != "" || response.StatusCode == http.StatusMisdirectedRequest
--- a/dialer/send_test.go
+++ b/dialer/send_test.go
@@ -98,6 +98,9 @@
 		{"redirect", func(w http.ResponseWriter, r *http.Request) {
 			http.Redirect(w, r, "/other", http.StatusTemporaryRedirect)
 		}, jujubegate.BadAnswer, jujubegate.Unknown},
+		{"status 000 before an answer", replyRaw("HTTP/1.1 000 Failed\r\nContent-Length: 0\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 83\r\n\r\n" + goodAnswer), jujubegate.BadAnswer, jujubegate.Unknown},
+		{"status 600", reply(600, goodAnswer), jujubegate.BadAnswer, jujubegate.Unknown},
+		{"status 101", replyRaw("HTTP/1.1 101 Failed\r\n\r\n" + goodAnswer), jujubegate.BadAnswer, jujubegate.Unknown},
 		{"no HTTP", replyRaw("SSH-2.0\r\n\r\n"), jujubegate.BadAnswer, jujubegate.Unknown},
 		{"close without an answer", replyRaw(""), jujubegate.TargetDown, jujubegate.Unknown},
 		{"close in the answer", replyRaw("HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\n{"), jujubegate.TargetDown, jujubegate.Unknown},
