Order the failures of an instance by its own numbers

Two series of failed calls of the same instance were ordered by times that each peer computes from ages, so that a delayed message could make the older one look newer, and peers tell each other both in turn. Found by reading; TestFailuresAreBounded has the case and failed with a trigger too many before.

--- a/replicator/failures.go
+++ b/replicator/failures.go
@@ -21,20 +21,20 @@
 // Failure says that the calls of an instance to the store fail. It is immutable.
 type Failure struct {
 	Instance jujubegate.Instance
-	// Series identifies a series of failed calls without a success between, and Count
-	// is the number of those until At.
+	// Series identifies a series of failed calls without a success between; a later one
+	// of the instance has a higher number. Count is the number of the calls until At.
 	Series, Count int64
 	// BeganAt is when its calls began to fail, At when the latest one failed.
 	BeganAt, At time.Time
 }
 
 // newer reports whether f is later news of an instance than known. It does not compare
-// times of the same series: those that a peer reports differ by the time of its message.
+// times: those that two peers report differ by the time of their messages.
 func (f Failure) newer(known Failure) bool {
 	if f.Series == known.Series {
 		return f.Count > known.Count
 	}
-	return f.At.After(known.At)
+	return f.Series > known.Series
 }
 
 // Failures holds which instances lately failed to reach the store. It is safe for
--- a/replicator/gap_test.go
+++ b/replicator/gap_test.go
@@ -90,6 +90,8 @@
 				time.Sleep(10 * time.Millisecond)
 			}
 		}
+		// So does news of a series that is over.
+		f.Merge([]Failure{{Instance: "a", Series: 0, Count: 7, BeganAt: time.Now(), At: time.Now()}})
 		f.Merge([]Failure{{Instance: "self", BeganAt: time.Now(), At: time.Now()}})
 		if n := len(f.Recent()); n != maxReportedFailures || changes != 100 {
 			t.Errorf("%d failures are reported and %d were told at once, want %d and 100", n, changes, maxReportedFailures)
