--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -57,7 +57,8 @@
 	Log   *zap.Logger
 	// Replicators hold the objects that are passed on to peers, one for each kind.
 	Replicators []*replicator.Replicator
-	// Failures holds which instances failed to reach the store.
+	// Failures holds which instances failed to reach the store; nil if the replicators
+	// read none.
 	Failures *replicator.Failures
 	// Serving reports whether this instance takes new requests.
 	Serving func() bool
--- a/replicator/replicator.go
+++ b/replicator/replicator.go
@@ -40,7 +40,8 @@
 	Pause time.Duration
 	// Rewriting says what counts after the store came back from an older copy.
 	Rewriting Rewriting
-	// Failures is shared by the replicators of all kinds.
+	// Failures is shared by the replicators of all kinds; if it is nil, the replicator has
+	// its own.
 	Failures *Failures
 	// Changed is called with each new state, never concurrently.
 	Changed func(*State)
