Pass on when an outage of the store ended as first reported

- News of one outage went round in a large fleet, where confirmations are often 2 s apart: each instance reported its own time for the end.
The time of the peer is passed on now, so that the news ages.
- The series of failed calls of an instance went on although another had read the store since, as it was its turn all the time.
Its later failures then seemed to have begun before the gap.
A reading ends the series now.

TestCauseOfGap has the first, TestTargetsExpireInStoreOutages both.

--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -266,14 +266,14 @@
 			delete(c.decodedTargets, name)
 		}
 	}
-	c.tracker.Update(entries, tracker.Recency{SeenAt: s.SeenAt, Gap: s.Gap.Length, GapEndedAt: s.Gap.EndedAt, StoreAway: s.Gap.StoreAway, Restored: s.Restored})
+	c.tracker.Update(entries, tracker.Recency{SeenAt: s.SeenAt, Gap: s.Gap.Length, GapEndedAt: s.Gap.EndedAt, StoreAway: s.Gap.StoreAway(), Restored: s.Restored})
 }
 
 // targetReads returns the latest reads of the list of targets.
 func (c *Conductor) targetReads() tracker.StoreReads {
 	h := c.targets.Holding()
 	reads := tracker.StoreReads{ConfirmedAt: c.clock.Now().Add(-h.Age)}
-	if h.Gap.StoreAway || h.Gap.Failed > 0 {
+	if h.Gap.StoreAway() || h.Gap.Failed > 0 {
 		reads.OutageEndedAt = h.Gap.EndedAt
 	}
 	return reads
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -272,10 +272,10 @@
 
 // outageAgeMillis returns the age of a recent outage of the store; 0 if there was none.
 func (g *Gossiper) outageAgeMillis(h replicator.Holding) int64 {
-	if !h.Gap.StoreAway {
+	if !h.Gap.StoreAway() {
 		return 0
 	}
-	return max(ageMillis(g.settings.Clock.Since(h.Gap.EndedAt)), 1)
+	return max(ageMillis(g.settings.Clock.Since(h.Gap.OutageEndedAt)), 1)
 }
 
 // ageMillis returns an age in milliseconds, rounded up so that it is not too short.
--- a/replicator/reader.go
+++ b/replicator/reader.go
@@ -78,8 +78,8 @@
 	backoff := minBackoff
 	for ctx.Err() == nil {
 		rd.endRewriting()
+		rd.lead.settings.Failures.EndSeriesBefore(rd.clock.Now().Add(-rd.lead.Age()))
 		if delay := rd.turnIn(); delay > 0 {
-			rd.lead.settings.Failures.EndSeriesBefore(rd.clock.Now().Add(-rd.lead.Age()))
 			rd.sleep(ctx, min(delay, rd.checkPeriod()))
 			continue
 		}
--- a/replicator/replicator.go
+++ b/replicator/replicator.go
@@ -76,19 +76,6 @@
 	OutageEndedAt time.Time
 }
 
-// Gap is an interval without confirmations.
-type Gap struct {
-	Length  time.Duration
-	EndedAt time.Time
-	// Failed is the number of instances whose calls to the store began to fail in the
-	// gap, as far as is known.
-	Failed int
-	// StoreAway is set if the store could not be reached in the gap, so that objects
-	// can have expired although their owners are live. Without it, the gap is due to
-	// the instance that read the store for all, for example because it was lost.
-	StoreAway bool
-}
-
 // Replicator keeps the copy of one kind and a short history of its changes. It is
 // safe for concurrent use.
 type Replicator struct {
@@ -472,6 +459,6 @@
 	r.state.Store(s)
 	r.settings.Log.Info("replicator: state applied", zap.String("Kind", r.settings.Kind),
 		zap.Int64("Era", s.Era), zap.Int64("Revision", s.Revision), zap.Int("Objects", len(s.Objects)), zap.Int("Kept", len(r.overrides)),
-		zap.Bool("FromPeer", s.FromPeer), zap.Duration("Gap", s.Gap.Length), zap.Bool("StoreAway", s.Gap.StoreAway))
+		zap.Bool("FromPeer", s.FromPeer), zap.Duration("Gap", s.Gap.Length), zap.Bool("StoreAway", s.Gap.StoreAway()))
 	r.settings.Changed(s)
 }
