Bound the connections of each server, and close those that can be spared

Callers got no connection, and the instance none to its targets, the store and its peers, while clients kept all descriptors taken: 1,366 of 1,366 in TestSilentCallers, with clients that connect and send nothing. net/http accepts without a bound, and a silent connection lives for 10 s to 2 min.

An acceptor now counts the connections of each server. Callers get half of the descriptors (setting Descriptors, or the limit of the system), the other servers a fifth together; all of them together no more than a sixth of MemoryMB at 16 KiB each. If all are in use, the oldest connection of the largest group (new, idle, answered for the last time) is closed, so that a crowd displaces itself and not those who do something else. A connection with a request is never closed for another one; if there are only such, the new one is closed, of which no byte has been read.

Ruled out: a bound for each address, as a crowd has many; closing the oldest connection whatever it does, as that is an ordinary idle one.

Descriptors at most 616 after, 1,366 before (1,024 allowed), and an ordinary request is answered during the crowd: TestSilentCallers, TestSilentClientsOfOtherPorts, TestEndlessRequestLine, TestEndlessHeaderField, TestEndlessHeaderFields, TestEndlessChunks. The decision is replayed in TestOrdinaryClientsOutliveCrowd. The draining of connections at a stop moves into the acceptor with its test; a connection with a request counts as handled there, as its state is now set before the handler runs.

--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -15,6 +15,7 @@
 	"go.uber.org/zap"
 
 	"jujubegate.example/jujubegate"
+	"jujubegate.example/jujubegate/acceptor"
 	"jujubegate.example/jujubegate/connector"
 	"jujubegate.example/jujubegate/estimator"
 	"jujubegate.example/jujubegate/gatherer"
@@ -63,7 +64,9 @@
 	// endsAt is when the remaining requests are cancelled; nil until the instance accepts
 	// no new connections any more.
 	endsAt         atomic.Pointer[time.Time]
-	callers        callerConnections
+	resources      *resources
+	clients        *acceptor.Reporter
+	servers        atomic.Pointer[[]namedServer]
 	registered     atomic.Bool
 	tracker        *tracker.Tracker
 	sender         *sender.Sender
@@ -106,6 +109,8 @@
 	c.division.Store(&division{self: settings.Instance, share: maxStartupShare, startingUp: true})
 	c.requestContext, c.cancelRequests = context.WithCancel(context.Background())
 	opened := rec.Counter(recorder.ConnectionsOpened)
+	c.resources = newResources(&settings, log)
+	c.clients = acceptor.NewReporter(clock, log, c.countClients())
 	memory := connector.NewMemory(settings.bodyMemory())
 	c.tracker = tracker.New(tracker.Settings{
 		Clock: clock, Log: log, Drain: settings.Bounds.drain(),
@@ -175,6 +180,7 @@
 	rec.ValueFunc(recorder.PausesAsked, c.tracker.PausesAsked)
 	rec.ValueFunc(recorder.PausesUnreadable, c.tracker.PausesUnreadable)
 	rec.ValueFunc(recorder.RequestsBlocked, func() int64 { return int64(c.screener.BlockedCount()) })
+	c.publishClients()
 	rec.ValueFunc(recorder.InstancesKnown, func() int64 { return int64(c.countInstances()) })
 	return c
 }
@@ -309,7 +315,7 @@
 	for _, s := range servers {
 		go func() {
 			defer close(s.served)
-			failed <- s.server.Serve(s.listener)
+			failed <- s.server.Serve(s.acceptor.Listener(s.listener))
 		}()
 	}
 	go c.reader.Run(background)
@@ -334,6 +340,7 @@
 type namedServer struct {
 	name     string
 	server   *http.Server
+	acceptor *acceptor.Acceptor
 	listener net.Listener
 	// served is closed once the server accepts no more connections.
 	served chan struct{}
@@ -346,16 +353,17 @@
 	mux := http.NewServeMux()
 	mux.Handle(path, peers)
 	servers := []namedServer{
-		{name: callerServerName, server: c.callerServer()},
-		{name: "Peers", server: controlServer(mux)},
-		{name: "Ready", server: controlServer(c.readyHandler())},
-		{name: "Lookup", server: controlServer(c.lookupHandler())},
+		c.callerServer(),
+		c.controlServer("Peers", peerShare, mux),
+		c.controlServer("Ready", readyShare, c.readyHandler()),
+		c.controlServer("Lookup", lookupShare, c.lookupHandler()),
 	}
 	addresses := []string{c.settings.Load().Listen.Callers, c.settings.Load().Listen.Peers, c.settings.Load().Listen.Ready, c.settings.Load().Listen.Lookup}
 	if c.settings.Load().Listen.Metrics != "" {
-		servers = append(servers, namedServer{name: "Metrics", server: controlServer(c.recorder)})
+		servers = append(servers, c.controlServer("Metrics", metricsShare, c.recorder))
 		addresses = append(addresses, c.settings.Load().Listen.Metrics)
 	}
+	c.servers.Store(&servers)
 	for i := range servers {
 		l, err := net.Listen("tcp", addresses[i])
 		if err != nil {
@@ -364,7 +372,7 @@
 			}
 			return nil, fmt.Errorf("listen for %s: %w", servers[i].name, err)
 		}
-		servers[i].listener, servers[i].served = l, make(chan struct{})
+		servers[i].listener = l
 	}
 	return servers, nil
 }
--- a/conductor/lifecycle.go
+++ b/conductor/lifecycle.go
@@ -19,6 +19,9 @@
 	// drainCheckPeriod is the time between two looks at the connections of callers while
 	// they are drained.
 	drainCheckPeriod = 50 * time.Millisecond
+	// maxNewConnection is how long a connection without a request is kept open while the
+	// connections are drained.
+	maxNewConnection = 5 * time.Second
 	// finalAnswerTimeout bounds the answers to the cancelled requests.
 	finalAnswerTimeout = 200 * time.Millisecond
 	// announceTimeout bounds the announcement to peers that this instance leaves.
@@ -144,7 +147,7 @@
 	}
 	// A connection that has just been accepted is not known before.
 	<-s.served
-	for c.callers.closeIdle(c.clock.Now()) > 0 {
+	for s.acceptor.CloseIdle(maxNewConnection) > 0 {
 		if c.clock.Now().After(*c.endsAt.Load()) {
 			return false
 		}
--- a/conductor/serve.go
+++ b/conductor/serve.go
@@ -9,6 +9,7 @@
 
 	"github.com/labstack/echo/v4"
 
+	"jujubegate.example/jujubegate/acceptor"
 	"jujubegate.example/jujubegate/gossiper"
 	"jujubegate.example/jujubegate/receiver"
 )
@@ -31,24 +32,31 @@
 	maxLookupValidFor = 1500 * time.Millisecond
 )
 
-func (c *Conductor) callerServer() *http.Server {
-	return &http.Server{
-		Handler:           c.callers.handle(c.receiver),
+// newServer returns a server with an acceptor for one of the addresses of the instance.
+func (c *Conductor) newServer(name string, share float64, server *http.Server) namedServer {
+	a := acceptor.New(acceptor.Settings{
+		Name: name, Clock: c.clock, Log: c.log, Connections: c.resources.connections(share), Report: c.clients,
+	})
+	server.Handler = a.Handler(server.Handler)
+	a.Attach(server)
+	return namedServer{name: name, server: server, acceptor: a, served: make(chan struct{})}
+}
+
+func (c *Conductor) callerServer() namedServer {
+	return c.newServer(callerServerName, callerShare, &http.Server{
+		Handler:           c.receiver,
 		ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-		ConnContext: func(ctx context.Context, conn net.Conn) context.Context {
-			return c.callers.add(receiver.ConnContext(ctx, conn), conn, c.clock.Now())
-		},
-		ConnState:   c.callers.observe,
+		ConnContext: receiver.ConnContext,
 		BaseContext: func(net.Listener) context.Context { return c.requestContext },
-	}
+	})
 }
 
 // controlServer returns a server for requests that are not those of callers.
-func controlServer(h http.Handler) *http.Server {
-	return &http.Server{
-		Handler: h, ReadHeaderTimeout: headerTimeout, ReadTimeout: controlReadTimeout, IdleTimeout: idleTimeout,
+func (c *Conductor) controlServer(name string, share float64, handler http.Handler) namedServer {
+	return c.newServer(name, share, &http.Server{
+		Handler: handler, ReadHeaderTimeout: headerTimeout, ReadTimeout: controlReadTimeout, IdleTimeout: idleTimeout,
 		MaxHeaderBytes: maxControlHeaderBytes,
-	}
+	})
 }
 
 // readyHandler serves the readiness probe.
--- a/conductor/settings.go
+++ b/conductor/settings.go
@@ -26,7 +26,10 @@
 	CoreShare float64
 	// MemoryMB is the memory that the process may use.
 	MemoryMB int
-	Listen   Listen
+	// Descriptors is the number of descriptors that the process may open; 0 means as many as
+	// the system allows.
+	Descriptors int
+	Listen      Listen
 	// Seeds are peer addresses of other instances; they may be stale.
 	Seeds  []string
 	Store  Store
@@ -108,6 +111,7 @@
 		{"Fleet", s.Fleet == next.Fleet},
 		{"Cores", s.Cores == next.Cores && s.CoreShare == next.CoreShare},
 		{"MemoryMB", s.MemoryMB == next.MemoryMB},
+		{"Descriptors", s.Descriptors == next.Descriptors},
 		{"Bounds", s.Bounds == bounds},
 	} {
 		if !field.same {
@@ -192,12 +196,18 @@
 	if s.MemoryMB <= 0 {
 		add("MemoryMB must be greater than 0")
 	}
+	if s.Descriptors != 0 && s.Descriptors < minDescriptors {
+		add("Descriptors = %d is less than %d", s.Descriptors, minDescriptors)
+	}
 	if s.Log.LinesPerSecond <= 0 {
 		add("Log.LinesPerSecond must be greater than 0")
 	}
 	return fs
 }
 
+// minDescriptors is the least number of descriptors with which each server gets some.
+const minDescriptors = 128
+
 // fleet returns the name of the deployment.
 func (s *Settings) fleet() string {
 	if s.Fleet != "" {
--- a/recorder/metric.go
+++ b/recorder/metric.go
@@ -67,7 +67,15 @@
 	InstancesKnown     = Metric{"InstancesKnown", KindGauge, "instances", "live instances, this one included"}
 	StoreCalls         = Metric{"StoreCalls", KindCounter, "calls", "calls to the platform's store"}
 	StoreFailures      = Metric{"StoreFailures", KindCounter, "calls", "calls to the platform's store without a usable answer"}
-	LogLinesDropped    = Metric{"LogLinesDropped", KindCounter, "lines", "log lines dropped by the rate limit or because the queue was full"}
+	ClientsFresh       = Metric{"ClientsFresh", KindGauge, "connections", "accepted connections that have received no byte"}
+	ClientsBusy        = Metric{"ClientsBusy", KindGauge, "connections", "accepted connections with a request that is handled"}
+	ClientsIdle        = Metric{"ClientsIdle", KindGauge, "connections", "accepted connections between two requests"}
+	ClientsLingering   = Metric{"ClientsLingering", KindGauge, "connections", "accepted connections that wait for the client to close after the last answer"}
+
+	ClientConnectionsEvicted = Metric{"ClientConnectionsEvicted", KindCounter, "connections", "accepted connections closed to admit others"}
+	ClientConnectionsRefused = Metric{"ClientConnectionsRefused", KindCounter, "connections", "connections closed at once, as all others had a request"}
+
+	LogLinesDropped = Metric{"LogLinesDropped", KindCounter, "lines", "log lines dropped by the rate limit or because the queue was full"}
 )
 
 // Metrics lists all metrics of an instance.
@@ -79,7 +87,11 @@
 	Forwarded, ForwardedAnswered, ForwardedPartial, ForwardedRefused, ForwardedFailed, ForwardedLatency,
 	ConnectionsOpened, TargetBytes, TargetBytesFar, PeerBytes, PeerBytesFar, ConfigurationInUse, TargetsKnown, TargetsLimited, TargetsLeaving, TargetsPaused,
 	DeparturesSeen, PausesAsked, PausesUnreadable, RequestsBlocked, InstancesKnown,
-	StoreCalls, StoreFailures, LogLinesDropped,
+	StoreCalls, StoreFailures,
+	ClientsFresh, ClientsBusy, ClientsIdle, ClientsLingering,
+	ClientConnectionsEvicted, ClientConnectionsRefused,
+
+	LogLinesDropped,
 }
 
 // Page returns the reference page of the metrics as Markdown.
