Give the server a head only once it is complete and there is memory for it

net/http parses each line as it arrives, up to a constant of 64 KiB, four times the configured limit, which is applied to parsed headers only. A byte of short lines takes some twelve bytes of memory once it is parsed, and nothing bounded the sum over the connections.

The connection now collects a head, refuses it with 431 at the limit in force and with 408 after the configured time, and takes memory from one budget (an eighth of MemoryMB): for its bytes as they arrive, and for its parsed form before the server gets it. For lack of memory, the head that is incomplete for the longest time is given up; if there is none, 503 with Retry-After. A quarter of the budget is for small heads, so that few large ones whose bodies never come keep nobody out. Pipelined bytes stay behind until the request before them has been answered, so that no head is parsed unseen; for that the connection follows bodies to their ends, chunks included. Idle connections are closed after the configured time instead of two minutes. More than a few empty lines before a request are answered 400 at once.

--- a/acceptor/acceptor.go
+++ b/acceptor/acceptor.go
@@ -1,4 +1,9 @@
-// Package acceptor accepts the connections of an HTTP server within a bound on their number.
+// Package acceptor accepts the connections of an HTTP server within bounds on their number,
+// on the size of request heads, on the time that clients take, and on the memory that all of
+// them hold together.
+//
+// The server is given one request at a time: a head only once it is complete and inside the
+// limits, and then no more than the body that the head announces.
 package acceptor
 
 import (
@@ -13,6 +18,16 @@
 	"jujubegate.example/jujubegate"
 )
 
+// Limits bound what one client may send and how long it may take.
+type Limits struct {
+	// HeadBytes bounds the request line and the headers of a request.
+	HeadBytes int
+	// HeadTime bounds the time from the first byte of a head to its end.
+	HeadTime time.Duration
+	// IdleTime bounds the time without a request.
+	IdleTime time.Duration
+}
+
 // Settings are the dependencies of an Acceptor.
 type Settings struct {
 	// Name is the name of the server in the log.
@@ -21,6 +36,13 @@
 	Log   *zap.Logger
 	// Connections bounds the open connections.
 	Connections int
+	// Limits returns the limits in force. It is called for each request.
+	Limits func() Limits
+	// Heads bounds the memory of all heads together; nil means no bound.
+	Heads *Budget
+	// HTTP2 is set for a server that speaks only HTTP/2. Its connections are then passed on
+	// as they are, and the bounds on heads and bodies are those of the server.
+	HTTP2 bool
 	// Report counts and logs what happened to clients; may be nil.
 	Report *Reporter
 }
@@ -45,6 +67,21 @@
 	return &Acceptor{settings: settings, all: make(map[*Conn]struct{})}
 }
 
+// maxHeadBytes is the bound on heads that the server itself applies. It is larger than any
+// limit in force, as the server needs not apply it.
+const maxHeadBytes = 1 << 20
+
+// Server returns a server that handles the requests on the connections of the acceptor. It
+// must be run on a listener that Listener returns.
+func (a *Acceptor) Server(handler http.Handler) *http.Server {
+	s := &http.Server{
+		Handler: a.handle(handler), MaxHeaderBytes: maxHeadBytes,
+		ErrorLog: zap.NewStdLog(a.settings.Log),
+	}
+	a.Attach(s)
+	return s
+}
+
 // Attach sets the hooks of a server through which the acceptor follows its connections.
 func (a *Acceptor) Attach(s *http.Server) {
 	outer := s.ConnContext
@@ -87,7 +124,7 @@
 	var victim *Conn
 	full := a.open >= a.settings.Connections
 	if full {
-		victim = a.groups.victim()
+		victim = a.groups.victim(now)
 	}
 	if full && victim == nil {
 		a.mu.Unlock()
@@ -110,7 +147,7 @@
 	return c
 }
 
-// disconnect closes the socket of a connection. The server
+// disconnect closes the socket of a connection and frees its part of the memory. The server
 // notices when it next uses the connection. The caller holds mu.
 func (a *Acceptor) disconnect(c *Conn) {
 	if c.state == closing {
@@ -118,6 +155,7 @@
 	}
 	a.groups.move(c, closing, time.Time{})
 	a.open--
+	c.release()
 	// The socket is closed in any case.
 	_ = c.Conn.Close()
 }
@@ -127,6 +165,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.disconnect(c)
+	c.release()
 	if _, ok := a.all[c]; ok {
 		delete(a.all, c)
 		a.served--
@@ -145,25 +184,54 @@
 	return true
 }
 
+// reserve takes memory for a head. While there is none, it closes the connection whose head
+// has been incomplete for the longest time, unless that is the one which asks.
+func (a *Acceptor) reserve(c *Conn, bytes int64) bool {
+	for !a.settings.Heads.Reserve(bytes) {
+		if !a.evictHead(c) {
+			return false
+		}
+	}
+	c.reserved.Add(bytes)
+	return true
+}
+
+func (a *Acceptor) evictHead(asking *Conn) bool {
+	a.mu.Lock()
+	victim := a.groups.oldest(Head)
+	if victim == nil || victim == asking {
+		a.mu.Unlock()
+		return false
+	}
+	a.disconnect(victim)
+	a.mu.Unlock()
+	a.settings.Report.Count(HeadsEvicted, a.settings.Name)
+	return true
+}
+
 // observe follows the states of connections that the server reports.
 func (a *Acceptor) observe(conn net.Conn, state http.ConnState) {
 	c, ok := conn.(*Conn)
 	if !ok {
 		return
 	}
-	if state == http.StateIdle {
+	switch {
+	case state == http.StateIdle && a.settings.HTTP2:
 		a.move(c, Idle)
+	case state == http.StateIdle:
+		c.endRequest()
+	case state == http.StateActive && a.settings.HTTP2:
+		a.move(c, Busy)
 	}
 }
 
 type connKey struct{}
 
-// Handler returns a handler that does not handle requests on connections that have been
-// closed, as their answers could not be sent.
-func (a *Acceptor) Handler(next http.Handler) http.Handler {
+// handle returns a handler that tells each connection which body follows a head.
+func (a *Acceptor) handle(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if c, ok := r.Context().Value(connKey{}).(*Conn); ok && !a.move(c, Busy) {
-			panic(http.ErrAbortHandler)
+		if c, ok := r.Context().Value(connKey{}).(*Conn); ok && r.ContentLength != 0 {
+			c.expectBody(r.ContentLength)
 		}
 		next.ServeHTTP(w, r)
 	})
@@ -177,7 +245,8 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	for c := range a.all {
-		if c.state == Idle || c.state == Fresh && now.Sub(c.since) >= firstRequest {
+		waitsForFirst := c.state == Fresh || c.state == Head
+		if c.state == Idle || waitsForFirst && now.Sub(c.since) >= firstRequest {
 			a.disconnect(c)
 		}
 	}
--- a/acceptor/group.go
+++ b/acceptor/group.go
@@ -9,10 +9,15 @@
 
 // States of connections.
 const (
-	// Fresh connections have carried no request yet.
+	// Fresh connections have received no byte yet.
 	Fresh State = iota
+	// Head connections have received a part of a head.
+	Head
 	// Busy connections have a request that is being handled.
 	Busy
+	// Waiting connections have a request for which the instance waits for the client: for
+	// its body, or until it reads its answer.
+	Waiting
 	// Idle connections have carried a request and wait for the next one.
 	Idle
 	// Lingering connections have got their last answer and wait for the client to close.
@@ -23,10 +28,18 @@
 )
 
 // StateNames are the names of the states in metrics and in the log.
-var StateNames = [...]string{"Fresh", "Busy", "Idle", "Lingering"}
+var StateNames = [...]string{"Fresh", "Head", "Busy", "Waiting", "Idle", "Lingering"}
+
+// waitingGrace is how long an instance waits for a client before it may close the
+// connection for another one.
+const waitingGrace = time.Second
+
+// graces are how long connections have been in a state at least when they are closed for
+// another one. Busy connections are never closed.
+var graces = [stateCount]time.Duration{Waiting: waitingGrace}
 
 // evictable are the states whose connections may be closed for others.
-var evictable = []State{Lingering, Fresh, Idle}
+var evictable = []State{Lingering, Fresh, Head, Idle, Waiting}
 
 // group holds the connections in one state, the one that came first at the front.
 type group struct {
@@ -77,18 +90,24 @@
 	}
 }
 
+func (gs *groups) oldest(s State) *Conn { return gs.byState[s].first }
+
 func (gs *groups) count(s State) int { return gs.byState[s].count }
 
 // victim returns the connection to close for a new one, nil if there is none: the oldest of
 // the largest group. A crowd of clients that all do the same is thus closed before the
 // clients that do something else, and of those which do the same, the one that has done so
 // for the longest time.
-func (gs *groups) victim() *Conn {
+func (gs *groups) victim(now time.Time) *Conn {
 	var victim *Conn
 	largest := 0
 	for _, s := range evictable {
-		if g := &gs.byState[s]; g.count > largest {
-			victim, largest = g.first, g.count
+		first := gs.byState[s].first
+		if first == nil || now.Sub(first.since) < graces[s] {
+			continue
+		}
+		if n := gs.byState[s].count; n > largest {
+			victim, largest = first, n
 		}
 	}
 	return victim
--- a/acceptor/group_test.go
+++ b/acceptor/group_test.go
@@ -29,13 +29,14 @@
 	}{
 		{"silent, slowly", Fresh, 1},
 		{"silent, quickly", Fresh, 20},
+		{"in a head", Head, 20},
 		{"idle after a request", Idle, 20},
 		{"answered for the last time", Lingering, 20},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			clock := clockwork.NewFakeClock()
-			a := newTestAcceptor(connections, clock)
+			a := newTestAcceptor(connections, testLimits, clock)
 			type ordinary struct {
 				conn *Conn
 				came time.Time
@@ -85,7 +86,7 @@
 func TestBusyConnectionsAreKept(t *testing.T) {
 	// Guards against a request that is cut for a new connection. The new one is closed
 	// instead, of which no byte has been read.
-	a := newTestAcceptor(2, clockwork.NewFakeClock())
+	a := newTestAcceptor(2, testLimits, clockwork.NewFakeClock())
 	for range 2 {
 		a.move(a.admit(discardConn{}), Busy)
 	}
--- a/acceptor/report.go
+++ b/acceptor/report.go
@@ -19,11 +19,24 @@
 	// ConnectionsRefused counts connections that were closed at once, as all others were
 	// in use.
 	ConnectionsRefused
+	// ConnectionsIdle counts connections that were closed after the idle time.
+	ConnectionsIdle
+	// HeadsTooLarge, HeadsTimedOut and EmptyLines count heads that were refused.
+	HeadsTooLarge
+	HeadsTimedOut
+	EmptyLines
+	// HeadsEvicted counts connections that were closed in the middle of a head, as others
+	// needed the memory, and HeadsWithoutMemory heads that were refused for lack of it.
+	HeadsEvicted
+	HeadsWithoutMemory
 	reasonCount
 )
 
 // ReasonNames are the names of the reasons in the log.
-var ReasonNames = [reasonCount]string{"ConnectionsEvicted", "ConnectionsRefused"}
+var ReasonNames = [reasonCount]string{
+	"ConnectionsEvicted", "ConnectionsRefused", "ConnectionsIdle", "HeadsTooLarge", "HeadsTimedOut", "EmptyLines",
+	"HeadsEvicted", "HeadsWithoutMemory",
+}
 
 // reportPeriod is the time between two log lines with the same reason.
 const reportPeriod = 10 * time.Second
@@ -54,6 +67,10 @@
 // reportPeriod.
 func (r *Reporter) Count(reason Reason, server string) {
 	r.count(reason)
+	if reason == ConnectionsIdle {
+		// Clients that behave well leave connections idle too.
+		return
+	}
 	now := r.clock.Now()
 	r.mu.Lock()
 	recent := &r.recent[reason]
--- a/conductor/clients.go
+++ b/conductor/clients.go
@@ -9,12 +9,20 @@
 var clientCounters = map[acceptor.Reason]recorder.Metric{
 	acceptor.ConnectionsEvicted: recorder.ClientConnectionsEvicted,
 	acceptor.ConnectionsRefused: recorder.ClientConnectionsRefused,
+	acceptor.ConnectionsIdle:    recorder.ClientConnectionsIdle,
+	acceptor.HeadsTooLarge:      recorder.ClientHeadsTooLarge,
+	acceptor.HeadsTimedOut:      recorder.ClientHeadsTimedOut,
+	acceptor.EmptyLines:         recorder.ClientEmptyLines,
+	acceptor.HeadsEvicted:       recorder.ClientHeadsEvicted,
+	acceptor.HeadsWithoutMemory: recorder.ClientHeadsWithoutMemory,
 }
 
 // clientGauges are the metrics of the connections in each state, of all servers together.
 var clientGauges = map[acceptor.State]recorder.Metric{
 	acceptor.Fresh:     recorder.ClientsFresh,
+	acceptor.Head:      recorder.ClientsSendingHead,
 	acceptor.Busy:      recorder.ClientsBusy,
+	acceptor.Waiting:   recorder.ClientsWaiting,
 	acceptor.Idle:      recorder.ClientsIdle,
 	acceptor.Lingering: recorder.ClientsLingering,
 }
@@ -28,11 +36,13 @@
 	return func(reason acceptor.Reason) { counters[reason].Inc() }
 }
 
-// publishClients publishes the number of connections by state.
+// publishClients publishes the number of connections by state and the memory that is taken
+// for clients.
 func (c *Conductor) publishClients() {
 	for state, metric := range clientGauges {
 		c.recorder.ValueFunc(metric, func() int64 { return int64(c.countConnections(state)) })
 	}
+	c.recorder.ValueFunc(recorder.HeadMemory, c.resources.heads.Used)
 }
 
 // countConnections returns the number of accepted connections in a state.
--- a/conductor/lifecycle_test.go
+++ b/conductor/lifecycle_test.go
@@ -42,13 +42,12 @@
 	endsAt := time.Now().Add(5 * time.Second)
 	c.endsAt.Store(&endsAt)
 	a := acceptor.New(acceptor.Settings{
-		Clock: c.clock, Log: c.log, Connections: 10,
+		Clock: c.clock, Log: c.log, Connections: 10, Limits: func() acceptor.Limits { return controlLimits },
 	})
-	server := &http.Server{ReadHeaderTimeout: time.Second, Handler: a.Handler(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+	server := a.Server(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Connection", "close")
 		time.Sleep(100 * time.Millisecond)
-	}))}
-	a.Attach(server)
+	}))
 	s := namedServer{name: callerServerName, server: server, acceptor: a, listener: l, served: make(chan struct{})}
 	go func() {
 		defer close(s.served)
--- a/conductor/resources.go
+++ b/conductor/resources.go
@@ -4,11 +4,21 @@
 	"syscall"
 
 	"go.uber.org/zap"
+
+	"jujubegate.example/jujubegate/acceptor"
+	"jujubegate.example/jujubegate/connector"
 )
 
-// connectionMemoryPart is the part of MemoryMB that accepted connections without a request
-// may take.
-const connectionMemoryPart = 1.0 / 6
+// The parts of MemoryMB that the owners of memory may take. What is left is for the program,
+// the list of targets and garbage; docs/OPERATIONS.md shows the table.
+const (
+	connectionMemoryPart = 1.0 / 6
+	headMemoryPart       = 1.0 / 8
+	bodyMemoryPart       = 1.0 / 6
+	// goMemoryPart is the part at which the garbage collector works harder. The rest is for
+	// the kernel's socket buffers and the C library.
+	goMemoryPart = 0.75
+)
 
 // The parts of the descriptors that the connections of each server may take. The rest is for
 // connections to targets, peers and the store.
@@ -34,10 +44,14 @@
 	minConnections = 8
 )
 
-// resources divides the descriptors of the process among its servers.
+// resources divides the memory and the descriptors of the process among all that takes them.
 type resources struct {
 	// sockets is the number of connections that the process may have open.
 	sockets int
+	// heads bounds the heads of requests, and bodies the large bodies of requests and of
+	// answers.
+	heads  *acceptor.Budget
+	bodies *connector.Memory
 }
 
 func newResources(s *Settings, log *zap.Logger) *resources {
@@ -45,7 +59,11 @@
 	accepted := callerShare + peerShare + lookupShare + readyShare + metricsShare
 	descriptors := s.descriptors(log)
 	sockets := descriptors - min(fileDescriptors, descriptors/fileDescriptorPart)
-	return &resources{sockets: min(sockets, int(connectionMemoryPart*memory/connectionBytes/accepted))}
+	return &resources{
+		sockets: min(sockets, int(connectionMemoryPart*memory/connectionBytes/accepted)),
+		heads:   acceptor.NewBudget(int64(headMemoryPart * memory)),
+		bodies:  connector.NewMemory(int64(bodyMemoryPart * memory)),
+	}
 }
 
 // connections returns how many connections a server may have open.
@@ -70,3 +88,6 @@
 	}
 	return limit
 }
+
+// GoMemoryLimit returns the memory limit of the Go runtime in bytes.
+func (s *Settings) GoMemoryLimit() int64 { return int64(goMemoryPart * float64(s.MemoryMB<<20)) }
--- a/conductor/serve.go
+++ b/conductor/serve.go
@@ -16,47 +16,68 @@
 
 const (
 	callerServerName = "Callers"
-	// headerTimeout bounds reading the headers of a request.
-	headerTimeout = 10 * time.Second
-	// idleTimeout is how long an idle connection of a caller is kept. It is longer
-	// than callers wait before they reuse one.
-	idleTimeout = 2 * time.Minute
-	// maxHeaderBytes bounds the size of the headers of a request, and
-	// maxControlHeaderBytes those of a message that is not of a caller.
-	maxHeaderBytes        = 64 << 10
-	maxControlHeaderBytes = 16 << 10
-	// controlReadTimeout bounds reading a message of a peer.
-	controlReadTimeout = 10 * time.Second
+	peerServerName   = "Peers"
 	// maxLookupValidFor is the longest time for which callers may cache the answer
 	// to a lookup.
 	maxLookupValidFor = 1500 * time.Millisecond
 )
 
+// The limits on callers until a configuration is known. A caller that is refused for its
+// headers does not try again, so the limit on these must exceed that of any configuration.
+var unconfiguredLimits = acceptor.Limits{
+	HeadBytes: 64 << 10, HeadTime: 10 * time.Second, IdleTime: 2 * time.Minute,
+}
+
+// controlLimits are the limits on clients that are not callers.
+var controlLimits = acceptor.Limits{
+	HeadBytes: 16 << 10, HeadTime: 10 * time.Second, IdleTime: 2 * time.Minute,
+}
+
+// headTimeMargin is by how much a head may exceed the configured time, as a part of it. Its
+// bytes can be delayed on their way.
+const headTimeMargin = 0.25
+
+// callerLimits returns the limits on callers: those of the configuration, if it is known and
+// has them.
+func (c *Conductor) callerLimits() acceptor.Limits {
+	limits := unconfiguredLimits
+	table := c.table.Load()
+	if table == nil {
+		return limits
+	}
+	configured := table.Limits
+	if configured.HeaderBytes > 0 {
+		limits.HeadBytes = configured.HeaderBytes
+	}
+	if configured.HeaderTime > 0 {
+		limits.HeadTime = time.Duration((1 + headTimeMargin) * float64(configured.HeaderTime))
+	}
+	if configured.IdleTime > 0 {
+		limits.IdleTime = configured.IdleTime
+	}
+	return limits
+}
+
 // newServer returns a server with an acceptor for one of the addresses of the instance.
-func (c *Conductor) newServer(name string, share float64, server *http.Server) namedServer {
+func (c *Conductor) newServer(name string, share float64, limits func() acceptor.Limits, handler http.Handler) namedServer {
 	a := acceptor.New(acceptor.Settings{
-		Name: name, Clock: c.clock, Log: c.log, Connections: c.resources.connections(share), Report: c.clients,
+		Name: name, Clock: c.clock, Log: c.log, Connections: c.resources.connections(share), Limits: limits,
+		Heads: c.resources.heads, Report: c.clients,
 	})
-	server.Handler = a.Handler(server.Handler)
-	a.Attach(server)
-	return namedServer{name: name, server: server, acceptor: a, served: make(chan struct{})}
+	return namedServer{name: name, server: a.Server(handler), acceptor: a, served: make(chan struct{})}
 }
 
 func (c *Conductor) callerServer() namedServer {
-	return c.newServer(callerServerName, callerShare, &http.Server{
-		Handler:           c.receiver,
-		ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-		ConnContext: receiver.ConnContext,
-		BaseContext: func(net.Listener) context.Context { return c.requestContext },
-	})
+	s := c.newServer(callerServerName, callerShare, c.callerLimits, c.receiver)
+	s.server.BaseContext = func(net.Listener) context.Context { return c.requestContext }
+	s.server.ConnContext = receiver.ConnContext
+	s.acceptor.Attach(s.server)
+	return s
 }
 
 // controlServer returns a server for requests that are not those of callers.
 func (c *Conductor) controlServer(name string, share float64, handler http.Handler) namedServer {
-	return c.newServer(name, share, &http.Server{
-		Handler: handler, ReadHeaderTimeout: headerTimeout, ReadTimeout: controlReadTimeout, IdleTimeout: idleTimeout,
-		MaxHeaderBytes: maxControlHeaderBytes,
-	})
+	return c.newServer(name, share, func() acceptor.Limits { return controlLimits }, handler)
 }
 
 // readyHandler serves the readiness probe.
--- a/conductor/settings.go
+++ b/conductor/settings.go
@@ -216,20 +216,6 @@
 	return s.Store.Address
 }
 
-// bodyMemoryPart is the fraction of the memory that large bodies may take. A copy
-// while a buffer grows and garbage can double it.
-const bodyMemoryPart = 1.0 / 6
-
-// bodyMemory returns how many bytes of large bodies may be held at the same time.
-func (s *Settings) bodyMemory() int64 { return int64(bodyMemoryPart * float64(s.MemoryMB<<20)) }
-
-// goMemoryPart is the fraction of the memory at which the garbage collector works
-// harder. The rest is for the kernel's socket buffers and the C library.
-const goMemoryPart = 0.75
-
-// GoMemoryLimit returns the memory limit of the Go runtime in bytes.
-func (s *Settings) GoMemoryLimit() int64 { return int64(goMemoryPart * float64(s.MemoryMB<<20)) }
-
 // capacity returns the usable CPU time in thousandths of a core.
 func (s *Settings) capacity() int64 { return max(int64(1000*s.CoreShare*float64(s.Cores)), 1) }
 
--- a/conductor/traffic.go
+++ b/conductor/traffic.go
@@ -16,6 +16,9 @@
 // has more peers than connections that an instance can hold.
 const peerIdleTimeout = 20 * time.Second
 
+// maxPeerHeaderBytes bounds the headers of the answer of a peer.
+const maxPeerHeaderBytes = 16 << 10
+
 // dialTarget returns the function that opens connections to a target in a data
 // centre and counts their bytes.
 func (c *Conductor) dialTarget(dataCentre jujubegate.DataCentre) func(ctx context.Context, network, address string) (net.Conn, error) {
@@ -35,7 +38,7 @@
 func (c *Conductor) newPeerTransport() *http.Transport {
 	account := accountant.Account{Total: c.recorder.Counter(recorder.PeerBytes), Far: c.recorder.Counter(recorder.PeerBytesFar)}
 	return &http.Transport{
-		MaxIdleConnsPerHost: 2, IdleConnTimeout: peerIdleTimeout, DisableCompression: true, MaxResponseHeaderBytes: maxControlHeaderBytes,
+		MaxIdleConnsPerHost: 2, IdleConnTimeout: peerIdleTimeout, DisableCompression: true, MaxResponseHeaderBytes: maxPeerHeaderBytes,
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			conn, err := (&net.Dialer{}).DialContext(ctx, network, address)
 			if err != nil {
--- a/recorder/metric.go
+++ b/recorder/metric.go
@@ -68,12 +68,22 @@
 	StoreCalls         = Metric{"StoreCalls", KindCounter, "calls", "calls to the platform's store"}
 	StoreFailures      = Metric{"StoreFailures", KindCounter, "calls", "calls to the platform's store without a usable answer"}
 	ClientsFresh       = Metric{"ClientsFresh", KindGauge, "connections", "accepted connections that have received no byte"}
+	ClientsSendingHead = Metric{"ClientsSendingHead", KindGauge, "connections", "accepted connections with an incomplete head"}
 	ClientsBusy        = Metric{"ClientsBusy", KindGauge, "connections", "accepted connections with a request that is handled"}
+	ClientsWaiting     = Metric{"ClientsWaiting", KindGauge, "connections", "accepted connections that wait for the client to send its body or to read its answer"}
 	ClientsIdle        = Metric{"ClientsIdle", KindGauge, "connections", "accepted connections between two requests"}
 	ClientsLingering   = Metric{"ClientsLingering", KindGauge, "connections", "accepted connections that wait for the client to close after the last answer"}
 
 	ClientConnectionsEvicted = Metric{"ClientConnectionsEvicted", KindCounter, "connections", "accepted connections closed to admit others"}
 	ClientConnectionsRefused = Metric{"ClientConnectionsRefused", KindCounter, "connections", "connections closed at once, as all others had a request"}
+	ClientConnectionsIdle    = Metric{"ClientConnectionsIdle", KindCounter, "connections", "accepted connections closed after the idle time"}
+	ClientHeadsTooLarge      = Metric{"ClientHeadsTooLarge", KindCounter, "requests", "heads refused with 431 before they were complete"}
+	ClientHeadsTimedOut      = Metric{"ClientHeadsTimedOut", KindCounter, "requests", "heads refused with 408"}
+	ClientEmptyLines         = Metric{"ClientEmptyLines", KindCounter, "connections", "connections refused with 400 for empty lines before a request"}
+	ClientHeadsEvicted       = Metric{"ClientHeadsEvicted", KindCounter, "connections", "connections closed in a head, as others needed the memory"}
+	ClientHeadsWithoutMemory = Metric{"ClientHeadsWithoutMemory", KindCounter, "requests", "heads refused with 503 for lack of memory"}
+
+	HeadMemory = Metric{"HeadMemory", KindGauge, "bytes", "memory taken for heads of requests"}
 
 	LogLinesDropped = Metric{"LogLinesDropped", KindCounter, "lines", "log lines dropped by the rate limit or because the queue was full"}
 )
@@ -88,10 +98,10 @@
 	ConnectionsOpened, TargetBytes, TargetBytesFar, PeerBytes, PeerBytesFar, ConfigurationInUse, TargetsKnown, TargetsLimited, TargetsLeaving, TargetsPaused,
 	DeparturesSeen, PausesAsked, PausesUnreadable, RequestsBlocked, InstancesKnown,
 	StoreCalls, StoreFailures,
-	ClientsFresh, ClientsBusy, ClientsIdle, ClientsLingering,
-	ClientConnectionsEvicted, ClientConnectionsRefused,
-
-	LogLinesDropped,
+	ClientsFresh, ClientsSendingHead, ClientsBusy, ClientsWaiting, ClientsIdle, ClientsLingering,
+	ClientConnectionsEvicted, ClientConnectionsRefused, ClientConnectionsIdle,
+	ClientHeadsTooLarge, ClientHeadsTimedOut, ClientEmptyLines, ClientHeadsEvicted, ClientHeadsWithoutMemory,
+	HeadMemory, LogLinesDropped,
 }
 
 // Page returns the reference page of the metrics as Markdown.
