Close connections of clients that do not read their answers

Callers got no answer within a minute while clients sent requests without an end and read nothing (TestAnswersThatAreNotRead), and no port answered when they did so on the others (TestAnswersOfOtherPortsThatAreNotRead). The servers had no bound on the time of a write, so that each such connection was kept for ever, with its goroutine, its answer and its descriptor, and no connection was idle that could have been closed.

An answer is now written in blocks of 16 KiB, and each must be taken within the idle time of the configuration. A slow reader that makes progress is kept.

TestSilentConnectionIsClosed hangs at this case before.

--- a/acceptor/acceptor.go
+++ b/acceptor/acceptor.go
@@ -24,7 +24,8 @@
 	HeadBytes int
 	// HeadTime bounds the time from the first byte of a head to its end.
 	HeadTime time.Duration
-	// IdleTime bounds the time without a request.
+	// IdleTime bounds the time without a request, and without progress of an answer that is
+	// being sent.
 	IdleTime time.Duration
 }
 
--- a/acceptor/conn.go
+++ b/acceptor/conn.go
@@ -14,6 +14,8 @@
 const (
 	// firstHeadBytes is the memory that is taken for a head that does not arrive at once.
 	firstHeadBytes = 1 << 10
+	// writeBlock is the most that must be sent within the idle time.
+	writeBlock = 16 << 10
 	// lingerTime and lingerBytes bound reading on after the last answer. A connection that
 	// is closed with unread bytes is reset, and the client could lose the answer.
 	lingerTime  = 500 * time.Millisecond
@@ -281,6 +283,32 @@
 // release gives the memory of the head back.
 func (c *Conn) release() { c.acceptor.settings.Heads.Release(c.reserved.Swap(0)) }
 
+// Write sends an answer. Each block must be taken within the idle time.
+func (c *Conn) Write(p []byte) (int, error) {
+	settings := &c.acceptor.settings
+	if !settings.HTTP2 {
+		if !c.acceptor.move(c, Waiting) {
+			return 0, net.ErrClosed
+		}
+		defer c.acceptor.move(c, Busy)
+	}
+	written := 0
+	for written < len(p) || written == 0 {
+		if err := c.SetWriteDeadline(time.Now().Add(settings.Limits().IdleTime)); err != nil {
+			return written, err
+		}
+		n, err := c.Conn.Write(p[written:min(len(p), written+writeBlock)])
+		written += n
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			settings.Report.Count(AnswersNotRead, settings.Name)
+		}
+		if err != nil || len(p) == 0 {
+			return written, err
+		}
+	}
+	return written, nil
+}
+
 // CloseWrite ends the answers. The server calls it after the last one.
 func (c *Conn) CloseWrite() error {
 	c.acceptor.move(c, Lingering)
--- a/acceptor/lifecycle_test.go
+++ b/acceptor/lifecycle_test.go
@@ -214,6 +214,7 @@
 	}{
 		{"new", "", true},
 		{"idle", "GET / HTTP/1.1\r\nHost: h\r\n\r\n", true},
+		{"answers not read", "", false},
 	}
 	limits := testLimits
 	limits.IdleTime = 100 * time.Millisecond
--- a/acceptor/report.go
+++ b/acceptor/report.go
@@ -29,13 +29,15 @@
 	// needed the memory, and HeadsWithoutMemory heads that were refused for lack of it.
 	HeadsEvicted
 	HeadsWithoutMemory
+	// AnswersNotRead counts connections that were closed as an answer was not read.
+	AnswersNotRead
 	reasonCount
 )
 
 // ReasonNames are the names of the reasons in the log.
 var ReasonNames = [reasonCount]string{
 	"ConnectionsEvicted", "ConnectionsRefused", "ConnectionsIdle", "HeadsTooLarge", "HeadsTimedOut", "EmptyLines",
-	"HeadsEvicted", "HeadsWithoutMemory",
+	"HeadsEvicted", "HeadsWithoutMemory", "AnswersNotRead",
 }
 
 // reportPeriod is the time between two log lines with the same reason.
--- a/conductor/clients.go
+++ b/conductor/clients.go
@@ -15,6 +15,7 @@
 	acceptor.EmptyLines:         recorder.ClientEmptyLines,
 	acceptor.HeadsEvicted:       recorder.ClientHeadsEvicted,
 	acceptor.HeadsWithoutMemory: recorder.ClientHeadsWithoutMemory,
+	acceptor.AnswersNotRead:     recorder.ClientAnswersNotRead,
 }
 
 // clientGauges are the metrics of the connections in each state, of all servers together.
--- a/recorder/metric.go
+++ b/recorder/metric.go
@@ -82,6 +82,7 @@
 	ClientEmptyLines         = Metric{"ClientEmptyLines", KindCounter, "connections", "connections refused with 400 for empty lines before a request"}
 	ClientHeadsEvicted       = Metric{"ClientHeadsEvicted", KindCounter, "connections", "connections closed in a head, as others needed the memory"}
 	ClientHeadsWithoutMemory = Metric{"ClientHeadsWithoutMemory", KindCounter, "requests", "heads refused with 503 for lack of memory"}
+	ClientAnswersNotRead     = Metric{"ClientAnswersNotRead", KindCounter, "connections", "connections closed as the client did not read its answer"}
 
 	HeadMemory = Metric{"HeadMemory", KindGauge, "bytes", "memory taken for heads of requests"}
 
@@ -101,6 +102,7 @@
 	ClientsFresh, ClientsSendingHead, ClientsBusy, ClientsWaiting, ClientsIdle, ClientsLingering,
 	ClientConnectionsEvicted, ClientConnectionsRefused, ClientConnectionsIdle,
 	ClientHeadsTooLarge, ClientHeadsTimedOut, ClientEmptyLines, ClientHeadsEvicted, ClientHeadsWithoutMemory,
+	ClientAnswersNotRead,
 	HeadMemory, LogLinesDropped,
 }
 
