Answer 408 for a body that does not come in time

Callers whose body came too slowly got 400 after 10 s, which ends a request for good, although it had not run and could be sent again. It is answered 408 now, which says so, and no later than at the caller's own deadline, after which no answer is of use. TestBodyThatDoesNotCome got 400 before.

--- a/receiver/receiver.go
+++ b/receiver/receiver.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"time"
@@ -26,7 +27,7 @@
 	// answerReserve is how long before the caller's deadline the final answer is
 	// sent, so that it arrives in time.
 	answerReserve = 10 * time.Millisecond
-	// bodyTimeout limits the time for reading a body.
+	// bodyTimeout limits the time for reading a body. The caller's own time limits it too.
 	bodyTimeout = 10 * time.Second
 	// defaultMaxBodyBytes limits the size of a body if the configuration sets no
 	// limit.
@@ -267,7 +268,7 @@
 		limit = defaultMaxBodyBytes
 	}
 	control := http.NewResponseController(e.writer)
-	if err := control.SetReadDeadline(time.Now().Add(bodyTimeout)); err != nil && !errors.Is(err, http.ErrNotSupported) {
+	if err := control.SetReadDeadline(time.Now().Add(min(bodyTimeout, e.left))); err != nil && !errors.Is(err, http.ErrNotSupported) {
 		return nil, &refusal{http.StatusBadRequest, jujubegate.BadRequest, "the body cannot be read: " + err.Error(), 0}
 	}
 	body, err := connector.ReadBody(e.request.Body, e.request.ContentLength, limit, e.settings.Memory)
@@ -279,6 +280,9 @@
 	case errors.Is(err, connector.ErrMemory):
 		e.writer.Header().Set("Connection", "close")
 		return nil, &refusal{http.StatusServiceUnavailable, jujubegate.Overloaded, "no memory for the body at present", shedRetryAfter}
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		e.writer.Header().Set("Connection", "close")
+		return nil, &refusal{http.StatusRequestTimeout, jujubegate.DeadlinePassed, "the body did not arrive in time", 0}
 	case err != nil:
 		return nil, &refusal{http.StatusBadRequest, jujubegate.BadRequest, "the body is incomplete: " + err.Error(), 0}
 	}
--- a/receiver/receiver_test.go
+++ b/receiver/receiver_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -163,3 +164,30 @@
 		}
 	}
 }
+
+// stalledBody is a body that does not come within the time of a read.
+type stalledBody struct{}
+
+func (stalledBody) Read([]byte) (int, error) { return 0, os.ErrDeadlineExceeded }
+
+func TestBodyThatDoesNotCome(t *testing.T) {
+	// Guards against a 400, after which a caller does not try again, for a request whose body
+	// came too slowly. A 408 says that it has not run.
+	r := New(Settings{
+		Names: names, Clock: clockwork.NewRealClock(), Log: zap.NewNop(), Recorder: recorder.New(zap.NewNop(), false),
+		Estimator: estimator.New(clockwork.NewRealClock()),
+		Table:     table, Current: func() bool { return true }, Leaving: func() bool { return false },
+		Send: func(context.Context, sender.Call) sender.CallResult {
+			t.Error("the request was sent")
+			return sender.CallResult{}
+		},
+	})
+	request := httptest.NewRequest(http.MethodPost, "/o/x", stalledBody{})
+	request.Host = "h"
+	request.Header.Set("X-Id", "id")
+	w := httptest.NewRecorder()
+	r.ServeHTTP(w, request)
+	if w.Code != http.StatusRequestTimeout || w.Header().Get("Connection") != "close" {
+		t.Errorf("status %d, Connection %q", w.Code, w.Header().Get("Connection"))
+	}
+}
