Bound the time for a body that no handler reads

Callers got no answer within a minute while clients announced a body on a route that does not exist and sent none (TestBodyOfUnknownRouteNeverComes). The 404 was ready, but net/http reads on to the end of a body before it answers, and nothing bounded that read: each such connection was kept for ever with a request, so that none could be closed.

The time for a body now runs from the end of its head, whether a handler reads it or not, and ends with the body, so that a request which is being handled is not cancelled by it (TestSlowHandlerKeepsItsRequest).

The cases without a body in TestSilentConnectionIsClosed failed before.

--- a/acceptor/acceptor.go
+++ b/acceptor/acceptor.go
@@ -22,8 +22,9 @@
 type Limits struct {
 	// HeadBytes bounds the request line and the headers of a request.
 	HeadBytes int
-	// HeadTime bounds the time from the first byte of a head to its end.
-	HeadTime time.Duration
+	// HeadTime bounds the time from the first byte of a head to its end, and BodyTime that
+	// for a body.
+	HeadTime, BodyTime time.Duration
 	// IdleTime bounds the time without a request, and without progress of an answer that is
 	// being sent.
 	IdleTime time.Duration
--- a/acceptor/conn.go
+++ b/acceptor/conn.go
@@ -235,6 +235,8 @@
 		return
 	}
 	c.body = newBody(length)
+	// An error means that the connection is closed, which the next read tells.
+	_ = c.SetReadDeadline(time.Now().Add(c.acceptor.settings.Limits().BodyTime))
 }
 
 // readBody reads a part of the body.
--- a/acceptor/lifecycle_test.go
+++ b/acceptor/lifecycle_test.go
@@ -15,7 +15,7 @@
 	"go.uber.org/zap"
 )
 
-var testLimits = Limits{HeadBytes: 4096, HeadTime: time.Second, IdleTime: time.Second}
+var testLimits = Limits{HeadBytes: 4096, HeadTime: time.Second, BodyTime: time.Second, IdleTime: time.Second}
 
 func newTestAcceptor(connections int, limits Limits, clock clockwork.Clock) *Acceptor {
 	return New(Settings{
@@ -214,10 +214,12 @@
 	}{
 		{"new", "", true},
 		{"idle", "GET / HTTP/1.1\r\nHost: h\r\n\r\n", true},
+		{"no body", "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\n", true},
+		{"no chunks", "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n", true},
 		{"answers not read", "", false},
 	}
 	limits := testLimits
-	limits.IdleTime = 100 * time.Millisecond
+	limits.IdleTime, limits.BodyTime = 100*time.Millisecond, 100*time.Millisecond
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			a := newTestAcceptor(10, limits, clockwork.NewRealClock())
@@ -247,7 +249,7 @@
 func TestSlowHandlerKeepsItsRequest(t *testing.T) {
 	// Guards against a time for the client that cancels a request which is being handled.
 	limits := testLimits
-	limits.HeadTime, limits.IdleTime = 50*time.Millisecond, 50*time.Millisecond
+	limits.HeadTime, limits.BodyTime, limits.IdleTime = 50*time.Millisecond, 50*time.Millisecond, 50*time.Millisecond
 	a := newTestAcceptor(10, limits, clockwork.NewRealClock())
 	address := serve(t, a, func(w http.ResponseWriter, r *http.Request) {
 		if _, err := io.ReadAll(r.Body); err != nil {
--- a/conductor/serve.go
+++ b/conductor/serve.go
@@ -25,12 +25,12 @@
 // The limits on callers until a configuration is known. A caller that is refused for its
 // headers does not try again, so the limit on these must exceed that of any configuration.
 var unconfiguredLimits = acceptor.Limits{
-	HeadBytes: 64 << 10, HeadTime: 10 * time.Second, IdleTime: 2 * time.Minute,
+	HeadBytes: 64 << 10, HeadTime: 10 * time.Second, BodyTime: receiver.BodyTimeout, IdleTime: 2 * time.Minute,
 }
 
 // controlLimits are the limits on clients that are not callers.
 var controlLimits = acceptor.Limits{
-	HeadBytes: 16 << 10, HeadTime: 10 * time.Second, IdleTime: 2 * time.Minute,
+	HeadBytes: 16 << 10, HeadTime: 10 * time.Second, BodyTime: 10 * time.Second, IdleTime: 2 * time.Minute,
 }
 
 // headTimeMargin is by how much a head may exceed the configured time, as a part of it. Its
--- a/receiver/receiver.go
+++ b/receiver/receiver.go
@@ -27,8 +27,8 @@
 	// answerReserve is how long before the caller's deadline the final answer is
 	// sent, so that it arrives in time.
 	answerReserve = 10 * time.Millisecond
-	// bodyTimeout limits the time for reading a body. The caller's own time limits it too.
-	bodyTimeout = 10 * time.Second
+	// BodyTimeout limits the time for reading a body. The caller's own time limits it too.
+	BodyTimeout = 10 * time.Second
 	// defaultMaxBodyBytes limits the size of a body if the configuration sets no
 	// limit.
 	defaultMaxBodyBytes = 1 << 20
@@ -268,7 +268,7 @@
 		limit = defaultMaxBodyBytes
 	}
 	control := http.NewResponseController(e.writer)
-	if err := control.SetReadDeadline(time.Now().Add(min(bodyTimeout, e.left))); err != nil && !errors.Is(err, http.ErrNotSupported) {
+	if err := control.SetReadDeadline(time.Now().Add(min(BodyTimeout, e.left))); err != nil && !errors.Is(err, http.ErrNotSupported) {
 		return nil, &refusal{http.StatusBadRequest, jujubegate.BadRequest, "the body cannot be read: " + err.Error(), 0}
 	}
 	body, err := connector.ReadBody(e.request.Body, e.request.ContentLength, limit, e.settings.Memory)
