Let callers in sooner while a crowd is waited for on all connections

With a crowd that sends no bodies, or pipelines requests, an ordinary caller was answered in its 51st to 95th attempt, after some 10 s: each connection of the crowd was waited for for a second before it could be closed for another one, and a connection with pipelined requests was never free between two of them.

A client that sends or takes no byte for 250 ms, some round trips, may now be disconnected for a new one while all connections are in use. For a second after a connection had to be refused, answers say Connection: close, so that each connection serves one request.

TestOrdinaryClientsAmongWaitingOnes replays the load; with a second of waiting too few of its attempts get a connection.

--- a/acceptor/acceptor.go
+++ b/acceptor/acceptor.go
@@ -59,6 +59,8 @@
 	// connections with which the server has not finished.
 	open, served int
 	all          map[*Conn]struct{}
+	// refusedAt is when a connection was last refused for lack of others to close.
+	refusedAt time.Time
 }
 
 // New returns an acceptor.
@@ -129,6 +131,7 @@
 		victim = a.groups.victim(now)
 	}
 	if full && victim == nil {
+		a.refusedAt = now
 		a.mu.Unlock()
 		a.settings.Report.Count(ConnectionsRefused, a.settings.Name)
 		// The socket is closed in any case.
@@ -229,12 +232,27 @@
 
 type connKey struct{}
 
-// handle returns a handler that tells each connection which body follows a head.
+// crowdedTime is how long connections are not reused after one has been refused.
+const crowdedTime = time.Second
+
+// crowded reports whether connections have been refused lately.
+func (a *Acceptor) crowded() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return !a.refusedAt.IsZero() && a.settings.Clock.Since(a.refusedAt) < crowdedTime
+}
+
+// handle returns a handler that tells each connection which body follows a head. While
+// connections are refused, each serves one request only, so that clients with many requests
+// on a connection leave room for others.
 func (a *Acceptor) handle(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if c, ok := r.Context().Value(connKey{}).(*Conn); ok && r.ContentLength != 0 {
 			c.expectBody(r.ContentLength)
 		}
+		if a.crowded() {
+			w.Header().Set("Connection", "close")
+		}
 		next.ServeHTTP(w, r)
 	})
 }
--- a/acceptor/group.go
+++ b/acceptor/group.go
@@ -31,8 +31,8 @@
 var StateNames = [...]string{"Fresh", "Head", "Busy", "Waiting", "Idle", "Lingering"}
 
 // waitingGrace is how long an instance waits for a client before it may close the
-// connection for another one.
-const waitingGrace = time.Second
+// connection for another one: some round trips between regions.
+const waitingGrace = 250 * time.Millisecond
 
 // graces are how long connections have been in a state at least when they are closed for
 // another one. Busy connections are never closed.
--- a/acceptor/group_test.go
+++ b/acceptor/group_test.go
@@ -1,7 +1,10 @@
 package acceptor
 
 import (
+	"math/rand/v2"
 	"net"
+	"net/http"
+	"net/http/httptest"
 	"testing"
 	"time"
 
@@ -102,3 +105,67 @@
 type discardConn struct{ net.Conn }
 
 func (discardConn) Close() error { return nil }
+
+func TestOrdinaryClientsAmongWaitingOnes(t *testing.T) {
+	// Guards against a crowd that is waited for on all connections, connects again at once,
+	// and so leaves ordinary clients too few of those that become free.
+	const (
+		connections = 500
+		step        = time.Millisecond
+		lasts       = 60 * time.Second
+		// rivals come in each step, among them the attempt of an ordinary client each
+		// ordinaryPeriod on average.
+		rivals         = 20
+		ordinaryPeriod = 30
+		// wanted is the share of the ordinary clients' attempts that must get a connection:
+		// 20 attempts are then mostly enough.
+		wanted = 0.05
+	)
+	random := rand.New(rand.NewPCG(1, 1))
+	clock := clockwork.NewFakeClock()
+	a := newTestAcceptor(connections, testLimits, clock)
+	attempts, admitted := 0, 0
+	for start := clock.Now(); clock.Since(start) < lasts; clock.Advance(step) {
+		ordinary := random.IntN(ordinaryPeriod * rivals)
+		for i := range rivals {
+			conn := a.admit(discardConn{})
+			if i == ordinary {
+				attempts++
+				if conn != nil {
+					admitted++
+				}
+			}
+			if conn != nil {
+				a.move(conn, Waiting)
+			}
+		}
+	}
+	if float64(admitted) < wanted*float64(attempts) {
+		t.Errorf("%d of %d attempts got a connection", admitted, attempts)
+	}
+}
+
+func TestConnectionsAreNotReusedInCrowd(t *testing.T) {
+	// Guards against clients that keep their connections busy with one request after the
+	// other while new ones get none.
+	clock := clockwork.NewFakeClock()
+	a := newTestAcceptor(1, testLimits, clock)
+	handler := a.handle(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	closes := func() bool {
+		w := httptest.NewRecorder()
+		handler.ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/", http.NoBody))
+		return w.Header().Get("Connection") == "close"
+	}
+	a.move(a.admit(discardConn{}), Busy)
+	if closes() {
+		t.Error("a connection is not reused although none was refused")
+	}
+	a.admit(discardConn{})
+	if !closes() {
+		t.Error("a connection is reused after one was refused")
+	}
+	clock.Advance(crowdedTime)
+	if closes() {
+		t.Error("a connection is not reused although none was refused lately")
+	}
+}
