Count a claim on a budget as small by all that its client holds

The quarter of the memory for heads that is kept for small ones could be taken by heads that arrive slowly: each of their parts was small. TestSmallClaimsFindRoom with claims that grow in parts fails without it.

--- a/acceptor/acceptor.go
+++ b/acceptor/acceptor.go
@@ -192,7 +192,7 @@
 // reserve takes memory for a head. While there is none, it closes the connection whose head
 // has been incomplete for the longest time, unless that is the one which asks.
 func (a *Acceptor) reserve(c *Conn, bytes int64) bool {
-	for !a.settings.Heads.Reserve(bytes) {
+	for !a.settings.Heads.Reserve(bytes, c.reserved.Load()) {
 		if !a.evictHead(c) {
 			return false
 		}
--- a/acceptor/budget.go
+++ b/acceptor/budget.go
@@ -6,8 +6,8 @@
 // do not keep all others out.
 const smallShare = 1.0 / 4
 
-// smallPart is the part of a budget up to which a claim counts as small.
-const smallPart = 1.0 / 1024
+// smallPart is the part of a budget up to which all claims of one client count as small.
+const smallPart = 1.0 / 256
 
 // Budget bounds the memory that a kind of things takes together. It is safe for concurrent
 // use. A nil Budget has no bound.
@@ -19,13 +19,14 @@
 // NewBudget returns a budget of some bytes.
 func NewBudget(limit int64) *Budget { return &Budget{limit: limit} }
 
-// Reserve takes bytes of the budget, and reports false if they are not left.
-func (b *Budget) Reserve(bytes int64) bool {
+// Reserve takes bytes of the budget for a client that holds some of it already, and reports
+// false if they are not left.
+func (b *Budget) Reserve(bytes, held int64) bool {
 	if b == nil || bytes <= 0 {
 		return true
 	}
 	limit := b.limit
-	if float64(bytes) > smallPart*float64(limit) {
+	if float64(held+bytes) > smallPart*float64(limit) {
 		limit -= int64(smallShare * float64(limit))
 	}
 	if b.used.Add(bytes) > limit {
