Bound the memory of messages between instances

Anyone who reaches the port for peers could end a process: 100 clients that send a part of a message of 31 MB took 889 MB of 96 (TestUnfinishedPeerMessage), compressed ones of 30 KB each 3,283 MB (TestCompressedPeerMessage). Only the size of one message was bounded, to 32 MB after decompression, and not what all of them take together.

A call now takes memory from one budget, a tenth of MemoryMB: a constant share, its headers, four times its message as that is read, and twice its answer. Messages are decompressed under that budget before connect-go sees them; encodings that no instance uses (gRPC, compressed streams) are refused with 415. A call without memory is refused with 503 or cut, and the peer tries again in its next round.

Ruled out: a lower limit for one message, as the sum still has none; a bound on concurrent calls, which a few slow ones would use up.

--- a/acceptor/report.go
+++ b/acceptor/report.go
@@ -31,13 +31,17 @@
 	HeadsWithoutMemory
 	// AnswersNotRead counts connections that were closed as an answer was not read.
 	AnswersNotRead
+	// MessagesWithoutMemory counts messages of peers that were refused for lack of memory,
+	// MessagesRefused those in an encoding that no peer uses.
+	MessagesWithoutMemory
+	MessagesRefused
 	reasonCount
 )
 
 // ReasonNames are the names of the reasons in the log.
 var ReasonNames = [reasonCount]string{
 	"ConnectionsEvicted", "ConnectionsRefused", "ConnectionsIdle", "HeadsTooLarge", "HeadsTimedOut", "EmptyLines",
-	"HeadsEvicted", "HeadsWithoutMemory", "AnswersNotRead",
+	"HeadsEvicted", "HeadsWithoutMemory", "AnswersNotRead", "MessagesWithoutMemory", "MessagesRefused",
 }
 
 // reportPeriod is the time between two log lines with the same reason.
--- a/conductor/clients.go
+++ b/conductor/clients.go
@@ -7,15 +7,17 @@
 
 // clientCounters are the metrics of what happened to clients, by reason.
 var clientCounters = map[acceptor.Reason]recorder.Metric{
-	acceptor.ConnectionsEvicted: recorder.ClientConnectionsEvicted,
-	acceptor.ConnectionsRefused: recorder.ClientConnectionsRefused,
-	acceptor.ConnectionsIdle:    recorder.ClientConnectionsIdle,
-	acceptor.HeadsTooLarge:      recorder.ClientHeadsTooLarge,
-	acceptor.HeadsTimedOut:      recorder.ClientHeadsTimedOut,
-	acceptor.EmptyLines:         recorder.ClientEmptyLines,
-	acceptor.HeadsEvicted:       recorder.ClientHeadsEvicted,
-	acceptor.HeadsWithoutMemory: recorder.ClientHeadsWithoutMemory,
-	acceptor.AnswersNotRead:     recorder.ClientAnswersNotRead,
+	acceptor.ConnectionsEvicted:    recorder.ClientConnectionsEvicted,
+	acceptor.ConnectionsRefused:    recorder.ClientConnectionsRefused,
+	acceptor.ConnectionsIdle:       recorder.ClientConnectionsIdle,
+	acceptor.HeadsTooLarge:         recorder.ClientHeadsTooLarge,
+	acceptor.HeadsTimedOut:         recorder.ClientHeadsTimedOut,
+	acceptor.EmptyLines:            recorder.ClientEmptyLines,
+	acceptor.HeadsEvicted:          recorder.ClientHeadsEvicted,
+	acceptor.HeadsWithoutMemory:    recorder.ClientHeadsWithoutMemory,
+	acceptor.AnswersNotRead:        recorder.ClientAnswersNotRead,
+	acceptor.MessagesWithoutMemory: recorder.PeerMessagesWithoutMemory,
+	acceptor.MessagesRefused:       recorder.PeerMessagesRefused,
 }
 
 // clientGauges are the metrics of the connections in each state, of all servers together.
@@ -44,6 +46,7 @@
 		c.recorder.ValueFunc(metric, func() int64 { return int64(c.countConnections(state)) })
 	}
 	c.recorder.ValueFunc(recorder.HeadMemory, c.resources.heads.Used)
+	c.recorder.ValueFunc(recorder.MessageMemory, c.resources.messages.Used)
 }
 
 // countConnections returns the number of accepted connections in a state.
--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -351,9 +351,10 @@
 	path, peers := c.gossiper.Handler()
 	mux := http.NewServeMux()
 	mux.Handle(path, peers)
+	messages := &acceptor.Messages{Budget: c.resources.messages, Server: peerServerName, Report: c.clients}
 	servers := []namedServer{
 		c.callerServer(),
-		c.controlServer(peerServerName, peerShare, mux),
+		c.controlServer(peerServerName, peerShare, messages.Handler(mux)),
 		c.controlServer("Ready", readyShare, c.readyHandler()),
 		c.controlServer("Lookup", lookupShare, c.lookupHandler()),
 	}
--- a/conductor/resources.go
+++ b/conductor/resources.go
@@ -15,6 +15,7 @@
 	connectionMemoryPart = 1.0 / 6
 	headMemoryPart       = 1.0 / 8
 	bodyMemoryPart       = 1.0 / 6
+	messageMemoryPart    = 1.0 / 10
 	// goMemoryPart is the part at which the garbage collector works harder. The rest is for
 	// the kernel's socket buffers and the C library.
 	goMemoryPart = 0.75
@@ -48,10 +49,10 @@
 type resources struct {
 	// sockets is the number of connections that the process may have open.
 	sockets int
-	// heads bounds the heads of requests, and bodies the large bodies of requests and of
-	// answers.
-	heads  *acceptor.Budget
-	bodies *connector.Memory
+	// heads bounds the heads of requests, messages the calls of peers, and requests and
+	// answers the large bodies of either.
+	heads, messages *acceptor.Budget
+	bodies          *connector.Memory
 }
 
 func newResources(s *Settings, log *zap.Logger) *resources {
@@ -60,9 +61,10 @@
 	descriptors := s.descriptors(log)
 	sockets := descriptors - min(fileDescriptors, descriptors/fileDescriptorPart)
 	return &resources{
-		sockets: min(sockets, int(connectionMemoryPart*memory/connectionBytes/accepted)),
-		heads:   acceptor.NewBudget(int64(headMemoryPart * memory)),
-		bodies:  connector.NewMemory(int64(bodyMemoryPart * memory)),
+		sockets:  min(sockets, int(connectionMemoryPart*memory/connectionBytes/accepted)),
+		heads:    acceptor.NewBudget(int64(headMemoryPart * memory)),
+		messages: acceptor.NewBudget(int64(messageMemoryPart * memory)),
+		bodies:   connector.NewMemory(int64(bodyMemoryPart * memory)),
 	}
 }
 
--- a/recorder/metric.go
+++ b/recorder/metric.go
@@ -74,17 +74,20 @@
 	ClientsIdle        = Metric{"ClientsIdle", KindGauge, "connections", "accepted connections between two requests"}
 	ClientsLingering   = Metric{"ClientsLingering", KindGauge, "connections", "accepted connections that wait for the client to close after the last answer"}
 
-	ClientConnectionsEvicted = Metric{"ClientConnectionsEvicted", KindCounter, "connections", "accepted connections closed to admit others"}
-	ClientConnectionsRefused = Metric{"ClientConnectionsRefused", KindCounter, "connections", "connections closed at once, as all others had a request"}
-	ClientConnectionsIdle    = Metric{"ClientConnectionsIdle", KindCounter, "connections", "accepted connections closed after the idle time"}
-	ClientHeadsTooLarge      = Metric{"ClientHeadsTooLarge", KindCounter, "requests", "heads refused with 431 before they were complete"}
-	ClientHeadsTimedOut      = Metric{"ClientHeadsTimedOut", KindCounter, "requests", "heads refused with 408"}
-	ClientEmptyLines         = Metric{"ClientEmptyLines", KindCounter, "connections", "connections refused with 400 for empty lines before a request"}
-	ClientHeadsEvicted       = Metric{"ClientHeadsEvicted", KindCounter, "connections", "connections closed in a head, as others needed the memory"}
-	ClientHeadsWithoutMemory = Metric{"ClientHeadsWithoutMemory", KindCounter, "requests", "heads refused with 503 for lack of memory"}
-	ClientAnswersNotRead     = Metric{"ClientAnswersNotRead", KindCounter, "connections", "connections closed as the client did not read its answer"}
+	ClientConnectionsEvicted  = Metric{"ClientConnectionsEvicted", KindCounter, "connections", "accepted connections closed to admit others"}
+	ClientConnectionsRefused  = Metric{"ClientConnectionsRefused", KindCounter, "connections", "connections closed at once, as all others had a request"}
+	ClientConnectionsIdle     = Metric{"ClientConnectionsIdle", KindCounter, "connections", "accepted connections closed after the idle time"}
+	ClientHeadsTooLarge       = Metric{"ClientHeadsTooLarge", KindCounter, "requests", "heads refused with 431 before they were complete"}
+	ClientHeadsTimedOut       = Metric{"ClientHeadsTimedOut", KindCounter, "requests", "heads refused with 408"}
+	ClientEmptyLines          = Metric{"ClientEmptyLines", KindCounter, "connections", "connections refused with 400 for empty lines before a request"}
+	ClientHeadsEvicted        = Metric{"ClientHeadsEvicted", KindCounter, "connections", "connections closed in a head, as others needed the memory"}
+	ClientHeadsWithoutMemory  = Metric{"ClientHeadsWithoutMemory", KindCounter, "requests", "heads refused with 503 for lack of memory"}
+	ClientAnswersNotRead      = Metric{"ClientAnswersNotRead", KindCounter, "connections", "connections closed as the client did not read its answer"}
+	PeerMessagesWithoutMemory = Metric{"PeerMessagesWithoutMemory", KindCounter, "messages", "messages of peers refused, or their answers cut, for lack of memory"}
+	PeerMessagesRefused       = Metric{"PeerMessagesRefused", KindCounter, "messages", "messages in an encoding that no peer uses"}
 
-	HeadMemory = Metric{"HeadMemory", KindGauge, "bytes", "memory taken for heads of requests"}
+	HeadMemory    = Metric{"HeadMemory", KindGauge, "bytes", "memory taken for heads of requests"}
+	MessageMemory = Metric{"MessageMemory", KindGauge, "bytes", "memory taken for messages of peers"}
 
 	LogLinesDropped = Metric{"LogLinesDropped", KindCounter, "lines", "log lines dropped by the rate limit or because the queue was full"}
 )
@@ -102,8 +105,8 @@
 	ClientsFresh, ClientsSendingHead, ClientsBusy, ClientsWaiting, ClientsIdle, ClientsLingering,
 	ClientConnectionsEvicted, ClientConnectionsRefused, ClientConnectionsIdle,
 	ClientHeadsTooLarge, ClientHeadsTimedOut, ClientEmptyLines, ClientHeadsEvicted, ClientHeadsWithoutMemory,
-	ClientAnswersNotRead,
-	HeadMemory, LogLinesDropped,
+	ClientAnswersNotRead, PeerMessagesWithoutMemory, PeerMessagesRefused,
+	HeadMemory, MessageMemory, LogLinesDropped,
 }
 
 // Page returns the reference page of the metrics as Markdown.
