Divide the memory of an instance in one place, and bodies from answers

Large bodies of callers and large answers of targets shared a sixth of the memory: clients that send bodies slowly could take all of it, and the answers to other callers failed.

--- a/conductor/clients.go
+++ b/conductor/clients.go
@@ -47,6 +47,8 @@
 	}
 	c.recorder.ValueFunc(recorder.HeadMemory, c.resources.heads.Used)
 	c.recorder.ValueFunc(recorder.MessageMemory, c.resources.messages.Used)
+	c.recorder.ValueFunc(recorder.RequestMemory, c.resources.requests.Used)
+	c.recorder.ValueFunc(recorder.AnswerMemory, c.resources.answers.Used)
 }
 
 // countConnections returns the number of accepted connections in a state.
--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -115,7 +115,7 @@
 		Clock: clock, Log: log, Drain: settings.Bounds.drain(),
 		NewPool: func(e tracker.Entry, bound int) *connector.Pool {
 			return connector.New(connector.Settings{
-				Target: e.Address, TargetID: e.ID, Names: adapter.Names, Clock: clock, Opened: opened.Inc, Memory: c.resources.bodies,
+				Target: e.Address, TargetID: e.ID, Names: adapter.Names, Clock: clock, Opened: opened.Inc, Memory: c.resources.answers,
 				Lost: func() { c.screener.RecordEnd(e.ID) },
 				Dial: c.dialTarget(e.DataCentre),
 			}, bound)
@@ -168,7 +168,7 @@
 	gather := gatherer.New(gatherer.Settings{Clock: clock, Send: c.sender.Send, Wait: c.sender.Wait, ReturnAfter: c.sender.ReturnAfter})
 	c.receiver = receiver.New(receiver.Settings{
 		Names: adapter.Names, Clock: clock, Log: log, Recorder: rec,
-		Table: c.table.Load, Current: c.configurationCurrent, Leaving: c.leaving.Load, EndsAt: c.endsAt.Load, Memory: c.resources.bodies, Estimator: estimator.New(clock), Screener: c.screener,
+		Table: c.table.Load, Current: c.configurationCurrent, Leaving: c.leaving.Load, EndsAt: c.endsAt.Load, Memory: c.resources.requests, Estimator: estimator.New(clock), Screener: c.screener,
 		Send: c.sender.Send, Gather: gather.Gather,
 	})
 	rec.ValueFunc(recorder.TargetsKnown, func() int64 { return int64(c.tracker.UsableCount()) })
--- a/conductor/resources.go
+++ b/conductor/resources.go
@@ -12,10 +12,11 @@
 // The parts of MemoryMB that the owners of memory may take. What is left is for the program,
 // the list of targets and garbage; docs/OPERATIONS.md shows the table.
 const (
-	connectionMemoryPart = 1.0 / 6
+	connectionMemoryPart = 1.0 / 10
 	headMemoryPart       = 1.0 / 8
-	bodyMemoryPart       = 1.0 / 6
-	messageMemoryPart    = 1.0 / 10
+	requestMemoryPart    = 1.0 / 12
+	answerMemoryPart     = 1.0 / 8
+	messageMemoryPart    = 1.0 / 12
 	// goMemoryPart is the part at which the garbage collector works harder. The rest is for
 	// the kernel's socket buffers and the C library.
 	goMemoryPart = 0.75
@@ -51,8 +52,8 @@
 	sockets int
 	// heads bounds the heads of requests, messages the calls of peers, and requests and
 	// answers the large bodies of either.
-	heads, messages *acceptor.Budget
-	bodies          *connector.Memory
+	heads, messages   *acceptor.Budget
+	requests, answers *connector.Memory
 }
 
 func newResources(s *Settings, log *zap.Logger) *resources {
@@ -64,7 +65,8 @@
 		sockets:  min(sockets, int(connectionMemoryPart*memory/connectionBytes/accepted)),
 		heads:    acceptor.NewBudget(int64(headMemoryPart * memory)),
 		messages: acceptor.NewBudget(int64(messageMemoryPart * memory)),
-		bodies:   connector.NewMemory(int64(bodyMemoryPart * memory)),
+		requests: connector.NewMemory(int64(requestMemoryPart * memory)),
+		answers:  connector.NewMemory(int64(answerMemoryPart * memory)),
 	}
 }
 
--- a/connector/memory.go
+++ b/connector/memory.go
@@ -12,16 +12,20 @@
 // Memory bounds the large bodies that an instance holds at the same time, those
 // that are still being read included. It is safe for concurrent use.
 type Memory struct {
-	left atomic.Int64
+	limit int64
+	left  atomic.Int64
 }
 
 // NewMemory returns a Memory for bodies of the given number of bytes in total.
 func NewMemory(limit int64) *Memory {
-	m := &Memory{}
+	m := &Memory{limit: limit}
 	m.left.Store(limit)
 	return m
 }
 
+// Used returns the bytes that are taken.
+func (m *Memory) Used() int64 { return m.limit - m.left.Load() }
+
 // grow returns a copy of a buffer with at least twice its capacity, but at most
 // limit bytes, or false if the memory does not suffice. The new buffer counts until
 // it is garbage collected.
--- a/recorder/metric.go
+++ b/recorder/metric.go
@@ -87,6 +87,8 @@
 	PeerMessagesRefused       = Metric{"PeerMessagesRefused", KindCounter, "messages", "messages in an encoding that no peer uses"}
 
 	HeadMemory    = Metric{"HeadMemory", KindGauge, "bytes", "memory taken for heads of requests"}
+	RequestMemory = Metric{"RequestMemory", KindGauge, "bytes", "memory taken for large bodies of requests"}
+	AnswerMemory  = Metric{"AnswerMemory", KindGauge, "bytes", "memory taken for large answers of targets"}
 	MessageMemory = Metric{"MessageMemory", KindGauge, "bytes", "memory taken for messages of peers"}
 
 	LogLinesDropped = Metric{"LogLinesDropped", KindCounter, "lines", "log lines dropped by the rate limit or because the queue was full"}
@@ -106,7 +108,7 @@
 	ClientConnectionsEvicted, ClientConnectionsRefused, ClientConnectionsIdle,
 	ClientHeadsTooLarge, ClientHeadsTimedOut, ClientEmptyLines, ClientHeadsEvicted, ClientHeadsWithoutMemory,
 	ClientAnswersNotRead, PeerMessagesWithoutMemory, PeerMessagesRefused,
-	HeadMemory, MessageMemory, LogLinesDropped,
+	HeadMemory, RequestMemory, AnswerMemory, MessageMemory, LogLinesDropped,
 }
 
 // Page returns the reference page of the metrics as Markdown.
