Put acceptors in front of both ports of jujubegated

jujubegated had the same faults as jujubenode: 1,366 of 1,366 descriptors taken by silent clients on either port, 515 MB for incomplete heads of 18 KB, and no query answered in 60 s while answers were not read. Its servers had bounds for one connection only.

Both ports now have an acceptor: at most MaxConnections (new setting, 4,096) and three eighths of the descriptors each; heads of callers share an eighth of ClientMemoryBytes (new setting, 96 MiB). The port for instances speaks HTTP/2, whose connections are passed on as they are, with their number and their writes bounded. The number of descriptors and the metrics of clients move into the acceptor, so that both daemons share them.

--- a/acceptor/acceptor.go
+++ b/acceptor/acceptor.go
@@ -30,6 +30,10 @@
 	IdleTime time.Duration
 }
 
+// ConnectionBytes is the memory of an accepted connection without a request: the stack of its
+// goroutine, the two buffers of the server and its records.
+const ConnectionBytes = 16 << 10
+
 // Settings are the dependencies of an Acceptor.
 type Settings struct {
 	// Name is the name of the server in the log.
@@ -78,10 +82,7 @@
 // Server returns a server that handles the requests on the connections of the acceptor. It
 // must be run on a listener that Listener returns.
 func (a *Acceptor) Server(handler http.Handler) *http.Server {
-	s := &http.Server{
-		Handler: a.handle(handler), MaxHeaderBytes: maxHeadBytes,
-		ErrorLog: zap.NewStdLog(a.settings.Log),
-	}
+	s := &http.Server{Handler: a.handle(handler), MaxHeaderBytes: maxHeadBytes}
 	a.Attach(s)
 	return s
 }
@@ -96,6 +97,7 @@
 		return context.WithValue(ctx, connKey{}, conn)
 	}
 	s.ConnState = a.observe
+	s.ErrorLog = zap.NewStdLog(a.settings.Log)
 }
 
 // Listener returns a listener whose connections are those of the acceptor.
--- /dev/null
+++ b/assembler/clients.go
@@ -0,0 +1,61 @@
+package assembler
+
+import (
+	"net/http"
+	"time"
+
+	"go.uber.org/zap"
+
+	"jujubegate.example/jujubegate"
+	"jujubegate.example/jujubegate/acceptor"
+	"jujubegate.example/jujubegate/loader"
+	"jujubegate.example/jujubegate/recorder"
+	"jujubegate.example/jujubegate/server"
+)
+
+// The parts of Limits.ClientMemoryBytes.
+const (
+	headMemoryPart = 1.0 / 8
+)
+
+// portShare is the part of the descriptors that the accepted connections of each port may
+// take. The rest is for connections to targets, other instances and the store.
+const portShare = 3.0 / 8
+
+// peerWriteTime bounds the time in which another instance takes a part of an answer.
+const peerWriteTime = 15 * time.Second
+
+// clients bounds what callers and other instances may take of the process.
+type clients struct {
+	callers, peers *acceptor.Acceptor
+}
+
+func newClients(limits loader.Limits, clock jujubegate.Clock, log *zap.Logger, rec *recorder.Recorder) *clients {
+	report := acceptor.NewReporter(clock, log, acceptor.CountBy(rec))
+	connections := min(limits.MaxConnections, int(portShare*float64(acceptor.Sockets(0, log))))
+	heads := acceptor.NewBudget(int64(headMemoryPart * float64(limits.ClientMemoryBytes)))
+	c := &clients{
+		callers: acceptor.New(acceptor.Settings{
+			Name: "Callers", Clock: clock, Log: log, Connections: connections, Limits: server.ClientLimits, Heads: heads, Report: report,
+		}),
+		peers: acceptor.New(acceptor.Settings{
+			Name: "Peers", Clock: clock, Log: log, Connections: connections, HTTP2: true, Report: report,
+			Limits: func() acceptor.Limits { return acceptor.Limits{IdleTime: peerWriteTime} },
+		}),
+	}
+	acceptor.PublishStates(rec, func() []*acceptor.Acceptor { return []*acceptor.Acceptor{c.callers, c.peers} })
+	rec.ValueFunc(recorder.HeadMemory, heads.Used)
+	return c
+}
+
+// callerServer returns the server of the HTTP API.
+func (c *clients) callerServer(handler http.Handler) *http.Server {
+	return c.callers.Server(handler)
+}
+
+// peerServer returns the server for other instances.
+func (c *clients) peerServer(newServer func() *http.Server) *http.Server {
+	s := newServer()
+	c.peers.Attach(s)
+	return s
+}
--- a/assembler/daemon.go
+++ b/assembler/daemon.go
@@ -275,16 +275,17 @@
 		_ = peerListener.Close()
 		return oops.In("assembler").Wrapf(err, "listen for callers")
 	}
-	peerServer := d.handler.HTTPServer()
-	callerServer := server.HTTPServer(d.server.Handler(int64(d.settings.Limits.MaxBodyBytes)))
+	clients := newClients(d.settings.Limits, d.clock, d.logger, d.recorder)
+	peerServer := clients.peerServer(d.handler.HTTPServer)
+	callerServer := clients.callerServer(d.server.Handler(int64(d.settings.Limits.MaxBodyBytes)))
 	d.logger.Info("assembler: started", zap.String("instance", string(d.self.Instance)),
 		zap.String("peers", d.settings.PeerAddress), zap.String("callers", d.settings.CallerAddress))
 
 	running, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	group, groupContext := errgroup.WithContext(running)
-	group.Go(func() error { return serve(peerServer, peerListener) })
-	group.Go(func() error { return serve(callerServer, callerListener) })
+	group.Go(func() error { return serve(peerServer, clients.peers.Listener(peerListener)) })
+	group.Go(func() error { return serve(callerServer, clients.callers.Listener(callerListener)) })
 	group.Go(func() error { return ignoreCanceled(d.leaser.Run(groupContext)) })
 	group.Go(func() error { return ignoreCanceled(d.follower.Run(groupContext)) })
 	group.Go(func() error { d.orderer.Run(groupContext); return nil })
--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -110,7 +110,7 @@
 	c.requestContext, c.cancelRequests = context.WithCancel(context.Background())
 	opened := rec.Counter(recorder.ConnectionsOpened)
 	c.resources = newResources(&settings, log)
-	c.clients = acceptor.NewReporter(clock, log, c.countClients())
+	c.clients = acceptor.NewReporter(clock, log, acceptor.CountBy(rec))
 	c.tracker = tracker.New(tracker.Settings{
 		Clock: clock, Log: log, Drain: settings.Bounds.drain(),
 		NewPool: func(e tracker.Entry, bound int) *connector.Pool {
--- a/conductor/resources.go
+++ b/conductor/resources.go
@@ -1,8 +1,6 @@
 package conductor
 
 import (
-	"syscall"
-
 	"go.uber.org/zap"
 
 	"jujubegate.example/jujubegate/acceptor"
@@ -32,19 +30,8 @@
 	metricsShare = 1.0 / 64
 )
 
-const (
-	// connectionBytes is the memory of an accepted connection without a request: the stack
-	// of its goroutine, the two buffers of the server and its records.
-	connectionBytes = 16 << 10
-	// fileDescriptors are reserved for what is no connection, or an eighth of the descriptors
-	// if that is less.
-	fileDescriptors    = 200
-	fileDescriptorPart = 8
-	// defaultDescriptors is assumed if the limit of the process cannot be read.
-	defaultDescriptors = 1024
-	// minConnections is the least number of connections of a server.
-	minConnections = 8
-)
+// minConnections is the least number of connections of a server.
+const minConnections = 8
 
 // resources divides the memory and the descriptors of the process among all that takes them.
 type resources struct {
@@ -59,10 +46,8 @@
 func newResources(s *Settings, log *zap.Logger) *resources {
 	memory := float64(s.MemoryMB << 20)
 	accepted := callerShare + peerShare + lookupShare + readyShare + metricsShare
-	descriptors := s.descriptors(log)
-	sockets := descriptors - min(fileDescriptors, descriptors/fileDescriptorPart)
 	return &resources{
-		sockets:  min(sockets, int(connectionMemoryPart*memory/connectionBytes/accepted)),
+		sockets:  min(acceptor.Sockets(s.Descriptors, log), int(connectionMemoryPart*memory/acceptor.ConnectionBytes/accepted)),
 		heads:    acceptor.NewBudget(int64(headMemoryPart * memory)),
 		messages: acceptor.NewBudget(int64(messageMemoryPart * memory)),
 		requests: connector.NewMemory(int64(requestMemoryPart * memory)),
@@ -75,23 +60,5 @@
 	return max(int(share*float64(r.sockets)), minConnections)
 }
 
-// descriptors returns how many descriptors the process may open: the limit that the system
-// sets, or that of the settings if it is less.
-func (s *Settings) descriptors(log *zap.Logger) int {
-	limit := defaultDescriptors
-	var system syscall.Rlimit
-	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &system); err != nil {
-		log.Warn("conductor: limit of descriptors cannot be read", zap.Int("Assumed", limit), zap.Error(err))
-	} else if system.Cur < 1<<30 {
-		limit = int(system.Cur)
-	} else {
-		limit = 1 << 30
-	}
-	if s.Descriptors > 0 {
-		return min(limit, s.Descriptors)
-	}
-	return limit
-}
-
 // GoMemoryLimit returns the memory limit of the Go runtime in bytes.
 func (s *Settings) GoMemoryLimit() int64 { return int64(goMemoryPart * float64(s.MemoryMB<<20)) }
--- a/conductor/resources_test.go
+++ b/conductor/resources_test.go
@@ -7,6 +7,7 @@
 
 	"go.uber.org/zap"
 
+	"jujubegate.example/jujubegate/acceptor"
 	"jujubegate.example/jujubegate/connector"
 )
 
@@ -44,7 +45,7 @@
 				t.Errorf("%d connections are accepted with %d descriptors", accepted, c.descriptors)
 			}
 			memory := float64(c.memoryMB << 20)
-			parts := (headMemoryPart+requestMemoryPart+answerMemoryPart+messageMemoryPart)*memory + float64(accepted*connectionBytes) +
+			parts := (headMemoryPart+requestMemoryPart+answerMemoryPart+messageMemoryPart)*memory + float64(accepted*acceptor.ConnectionBytes) +
 				float64(r.connections(callerShare)*smallBodyBytes)
 			if limit := float64(s.GoMemoryLimit()); parts+programBytes > limit {
 				t.Errorf("%.0f MB are promised with %.0f", (parts+programBytes)/(1<<20), limit/(1<<20))
--- a/loader/loader_test.go
+++ b/loader/loader_test.go
@@ -47,7 +47,7 @@
 		Instance: "sliven-1", DataCentre: "Sliven", PeerAddress: "127.0.0.1:7001", CallerAddress: "127.0.0.1:7002",
 		Store:  Store{Addresses: []string{"127.0.0.1:7100"}, Timeout: time.Second, CallsPerSecond: 50},
 		Lease:  Lease{Heartbeat: 500 * time.Millisecond, Suspect: 2 * time.Second, Duration: 3 * time.Second},
-		Limits: Limits{MaxBodyBytes: 1 << 20, MaxRows: 10_000, MaxQueriesInFlight: 1024, AnswerMemoryBytes: 64 << 20},
+		Limits: Limits{MaxBodyBytes: 1 << 20, MaxRows: 10_000, MaxQueriesInFlight: 1024, AnswerMemoryBytes: 64 << 20, ClientMemoryBytes: 96 << 20, MaxConnections: 4096},
 		Lookup: Lookup{ValidFor: 30 * time.Second},
 		Log:    Log{Level: "info"},
 	}
--- a/loader/reader.go
+++ b/loader/reader.go
@@ -149,9 +149,16 @@
 	}
 }
 
+// minBodiesInMemory is how many bodies of the largest size Limits.ClientMemoryBytes must hold
+// at least, so that one of them fits into the part for requests while it is decoded.
+const minBodiesInMemory = 16
+
 // checkDependencies checks settings that depend on each other.
 func (r *reader) checkDependencies() {
 	l := r.settings.Lease
+	if c := r.settings.Limits; c.ClientMemoryBytes < minBodiesInMemory*c.MaxBodyBytes {
+		r.addFinding(r.positionOf("Limits.ClientMemoryBytes", "Limits.MaxBodyBytes"), "Limits.ClientMemoryBytes is %d, less than %d times MaxBodyBytes, which is %d", c.ClientMemoryBytes, minBodiesInMemory, c.MaxBodyBytes)
+	}
 	if l.Suspect < 2*l.Heartbeat {
 		r.addFinding(r.positionOf("Lease.Suspect", "Lease.Heartbeat"), "Lease.Suspect is %v, less than 2 heartbeats of %v", l.Suspect, l.Heartbeat)
 	}
--- a/loader/settings.go
+++ b/loader/settings.go
@@ -52,6 +52,10 @@
 	MaxQueriesInFlight int
 	// AnswerMemoryBytes bounds the large answers of targets that are held at once.
 	AnswerMemoryBytes int
+	// ClientMemoryBytes bounds what callers and other instances send.
+	ClientMemoryBytes int
+	// MaxConnections bounds the accepted connections of each port.
+	MaxConnections int
 }
 
 // Lookup are the settings of the callers' address lookup.
--- a/loader/table.go
+++ b/loader/table.go
@@ -94,6 +94,16 @@
 		field: func(s *Settings) any { return &s.Limits.AnswerMemoryBytes }, defaultValue: 64 << 20,
 		rule: inRange(8<<20, 4<<30),
 	},
+	{
+		section: "Limits", key: "ClientMemoryBytes", help: "bytes of requests of callers and of messages of other instances that are held at once, copies included; further ones are refused; at least 16 times `MaxBodyBytes`",
+		field: func(s *Settings) any { return &s.Limits.ClientMemoryBytes }, defaultValue: 96 << 20,
+		rule: inRange(1<<20, 16<<30),
+	},
+	{
+		section: "Limits", key: "MaxConnections", help: "accepted connections of each of the two ports, but at most three eighths of the descriptors of the process; those that can best be spared are closed for new ones",
+		field: func(s *Settings) any { return &s.Limits.MaxConnections }, defaultValue: 4096,
+		rule: inRange(16, 1_000_000),
+	},
 	{
 		section: "Lookup", key: "ValidFor", help: "time for which callers may use looked-up addresses",
 		field: func(s *Settings) any { return &s.Lookup.ValidFor }, defaultValue: 30 * time.Second,
--- a/server/server.go
+++ b/server/server.go
@@ -13,6 +13,7 @@
 	"go.uber.org/zap"
 
 	"jujubegate.example/jujubegate"
+	"jujubegate.example/jujubegate/acceptor"
 	"jujubegate.example/jujubegate/asker"
 	"jujubegate.example/jujubegate/commander"
 )
@@ -78,15 +79,9 @@
 	return e
 }
 
-// HTTPServer returns a server with the timeouts and limits of the HTTP API.
-func HTTPServer(handler http.Handler) *http.Server {
-	return &http.Server{
-		Handler:           handler,
-		ReadHeaderTimeout: readHeaderTimeout,
-		ReadTimeout:       readTimeout,
-		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    maxHeaderBytes,
-	}
+// ClientLimits returns the limits on callers of the HTTP API.
+func ClientLimits() acceptor.Limits {
+	return acceptor.Limits{HeadBytes: maxHeaderBytes, HeadTime: readHeaderTimeout, BodyTime: readTimeout, IdleTime: idleTimeout}
 }
 
 func limitBody(limit int64) echo.MiddlewareFunc {
