Bound the memory of the bodies of callers of jujubegated

Bodies now take memory from three eighths of ClientMemoryBytes as they are read, four times their size for the copies while they are decoded. A body without memory is refused as Overloaded and not run, with the time to come back (TestBodyWithoutMemory).

--- a/acceptor/message.go
+++ b/acceptor/message.go
@@ -20,13 +20,16 @@
 	answerCopies = 2
 )
 
-// errNoMemory is the error of a message for which there is no memory at present.
-var errNoMemory = errors.New("no memory for the message at present")
+// ErrNoMemory is the error of a message for which there is no memory at present.
+var ErrNoMemory = errors.New("no memory for the message at present")
 
-// Messages bounds the memory of the calls of peers by a budget.
+// Messages bounds the memory of calls by a budget.
 type Messages struct {
 	// Budget bounds the memory of all calls together.
 	Budget *Budget
+	// WithAnswers is set if answers count too. A call is cut if there is no memory for its
+	// answer.
+	WithAnswers bool
 	// Server is the name of the server in the log.
 	Server string
 	Report *Reporter
@@ -81,7 +84,7 @@
 	return int64(size)
 }
 
-// call is one call of a peer. It is the reader of its message and the writer of its answer.
+// call is one call. It is the reader of its message and the writer of its answer.
 type call struct {
 	http.ResponseWriter
 	messages *Messages
@@ -103,7 +106,7 @@
 func (c *call) counted(n int, err error) (int, error) {
 	if n > 0 && !c.reserve(int64(n)*messageCopies) {
 		c.messages.Report.Count(MessagesWithoutMemory, c.messages.Server)
-		return 0, errNoMemory
+		return 0, ErrNoMemory
 	}
 	return n, err
 }
@@ -114,9 +117,9 @@
 // Close closes the message.
 func (c *call) Close() error { return c.body.Close() }
 
-// Write sends a part of the answer. The call is cut if there is no memory for it.
+// Write sends a part of the answer.
 func (c *call) Write(p []byte) (int, error) {
-	if !c.reserve(int64(len(p)) * answerCopies) {
+	if c.messages.WithAnswers && !c.reserve(int64(len(p))*answerCopies) {
 		c.messages.Report.Count(MessagesWithoutMemory, c.messages.Server)
 		panic(http.ErrAbortHandler)
 	}
--- a/acceptor/message_test.go
+++ b/acceptor/message_test.go
@@ -51,7 +51,7 @@
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			budget := NewBudget(limit)
-			m := &Messages{Budget: budget, Server: "Test", Report: NewReporter(clockwork.NewFakeClock(), zap.NewNop(), nil)}
+			m := &Messages{Budget: budget, WithAnswers: true, Server: "Test", Report: NewReporter(clockwork.NewFakeClock(), zap.NewNop(), nil)}
 			var content []byte
 			var readError error
 			handler := m.Handler(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
--- a/assembler/clients.go
+++ b/assembler/clients.go
@@ -15,7 +15,8 @@
 
 // The parts of Limits.ClientMemoryBytes.
 const (
-	headMemoryPart = 1.0 / 8
+	headMemoryPart    = 1.0 / 8
+	requestMemoryPart = 3.0 / 8
 )
 
 // portShare is the part of the descriptors that the accepted connections of each port may
@@ -28,12 +29,16 @@
 // clients bounds what callers and other instances may take of the process.
 type clients struct {
 	callers, peers *acceptor.Acceptor
+	requests       *acceptor.Messages
 }
 
 func newClients(limits loader.Limits, clock jujubegate.Clock, log *zap.Logger, rec *recorder.Recorder) *clients {
 	report := acceptor.NewReporter(clock, log, acceptor.CountBy(rec))
 	connections := min(limits.MaxConnections, int(portShare*float64(acceptor.Sockets(0, log))))
-	heads := acceptor.NewBudget(int64(headMemoryPart * float64(limits.ClientMemoryBytes)))
+	budget := func(part float64) *acceptor.Budget {
+		return acceptor.NewBudget(int64(part * float64(limits.ClientMemoryBytes)))
+	}
+	heads, requests := budget(headMemoryPart), budget(requestMemoryPart)
 	c := &clients{
 		callers: acceptor.New(acceptor.Settings{
 			Name: "Callers", Clock: clock, Log: log, Connections: connections, Limits: server.ClientLimits, Heads: heads, Report: report,
@@ -42,15 +47,17 @@
 			Name: "Peers", Clock: clock, Log: log, Connections: connections, HTTP2: true, Report: report,
 			Limits: func() acceptor.Limits { return acceptor.Limits{IdleTime: peerWriteTime} },
 		}),
+		requests: &acceptor.Messages{Budget: requests, Server: "Callers", Report: report},
 	}
 	acceptor.PublishStates(rec, func() []*acceptor.Acceptor { return []*acceptor.Acceptor{c.callers, c.peers} })
 	rec.ValueFunc(recorder.HeadMemory, heads.Used)
+	rec.ValueFunc(recorder.RequestMemory, requests.Used)
 	return c
 }
 
 // callerServer returns the server of the HTTP API.
 func (c *clients) callerServer(handler http.Handler) *http.Server {
-	return c.callers.Server(handler)
+	return c.callers.Server(c.requests.Handler(handler))
 }
 
 // peerServer returns the server for other instances.
--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -351,7 +351,7 @@
 	path, peers := c.gossiper.Handler()
 	mux := http.NewServeMux()
 	mux.Handle(path, peers)
-	messages := &acceptor.Messages{Budget: c.resources.messages, Server: peerServerName, Report: c.clients}
+	messages := &acceptor.Messages{Budget: c.resources.messages, WithAnswers: true, Server: peerServerName, Report: c.clients}
 	servers := []namedServer{
 		c.callerServer(),
 		c.controlServer(peerServerName, peerShare, messages.Handler(mux)),
--- a/server/caller.go
+++ b/server/caller.go
@@ -13,6 +13,7 @@
 	"go.uber.org/zap"
 
 	"jujubegate.example/jujubegate"
+	"jujubegate.example/jujubegate/acceptor"
 	"jujubegate.example/jujubegate/asker"
 )
 
@@ -90,6 +91,11 @@
 	var mismatch *json.UnmarshalTypeError
 	var tooLarge *http.MaxBytesError
 	switch {
+	case errors.Is(err, acceptor.ErrNoMemory):
+		return &jujubegate.Refusal{
+			Reason: jujubegate.Overloaded, Outcome: jujubegate.NotRun, RetryAfter: overloadRetryAfter,
+			Detail: "body: no memory at present",
+		}
 	case errors.As(err, &syntax):
 		return badRequest("body: %v at offset %d", err, syntax.Offset)
 	case errors.As(err, &mismatch):
--- a/server/server_test.go
+++ b/server/server_test.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 
 	"jujubegate.example/jujubegate"
+	"jujubegate.example/jujubegate/acceptor"
 	"jujubegate.example/jujubegate/asker"
 )
 
@@ -77,3 +78,21 @@
 		}
 	})
 }
+
+// bodyWithoutMemory is a body for which there is no memory at present.
+type bodyWithoutMemory struct{}
+
+func (bodyWithoutMemory) Read([]byte) (int, error) { return 0, acceptor.ErrNoMemory }
+
+func TestBodyWithoutMemory(t *testing.T) {
+	// Guards against a request that is called bad, and so not repeated, for lack of memory.
+	w := httptest.NewRecorder()
+	newTestServer().Handler(1000).ServeHTTP(w, httptest.NewRequest(http.MethodPost, asker.QueryPath, bodyWithoutMemory{}))
+	var body asker.RefusalBody
+	if err := json.Unmarshal(w.Body.Bytes(), &body); err != nil {
+		t.Fatal(err)
+	}
+	if w.Code != http.StatusTooManyRequests || body.Reason != jujubegate.Overloaded || body.Outcome != jujubegate.NotRun.String() {
+		t.Errorf("status %d, %+v", w.Code, body)
+	}
+}
