Bound the memory of calls between instances of jujubegated

HTTP/2 allowed 10,000 streams a connection with 1 MB of headers and 64 MB of message each, and nothing bounded the sum.

Headers of a call are now bounded to 16 KiB, and calls take memory from half of ClientMemoryBytes as in jujubenode: each call, its message as it is read, and its answer. The Go runtime gets a memory limit from the settings unless GOMEMLIMIT sets one, since garbage took as much as what was in use.

--- a/assembler/clients.go
+++ b/assembler/clients.go
@@ -17,6 +17,7 @@
 const (
 	headMemoryPart    = 1.0 / 8
 	requestMemoryPart = 3.0 / 8
+	messageMemoryPart = 1.0 / 2
 )
 
 // portShare is the part of the descriptors that the accepted connections of each port may
@@ -28,8 +29,8 @@
 
 // clients bounds what callers and other instances may take of the process.
 type clients struct {
-	callers, peers *acceptor.Acceptor
-	requests       *acceptor.Messages
+	callers, peers     *acceptor.Acceptor
+	requests, messages *acceptor.Messages
 }
 
 func newClients(limits loader.Limits, clock jujubegate.Clock, log *zap.Logger, rec *recorder.Recorder) *clients {
@@ -38,7 +39,7 @@
 	budget := func(part float64) *acceptor.Budget {
 		return acceptor.NewBudget(int64(part * float64(limits.ClientMemoryBytes)))
 	}
-	heads, requests := budget(headMemoryPart), budget(requestMemoryPart)
+	heads, requests, messages := budget(headMemoryPart), budget(requestMemoryPart), budget(messageMemoryPart)
 	c := &clients{
 		callers: acceptor.New(acceptor.Settings{
 			Name: "Callers", Clock: clock, Log: log, Connections: connections, Limits: server.ClientLimits, Heads: heads, Report: report,
@@ -48,10 +49,12 @@
 			Limits: func() acceptor.Limits { return acceptor.Limits{IdleTime: peerWriteTime} },
 		}),
 		requests: &acceptor.Messages{Budget: requests, Server: "Callers", Report: report},
+		messages: &acceptor.Messages{Budget: messages, WithAnswers: true, Server: "Peers", Report: report},
 	}
 	acceptor.PublishStates(rec, func() []*acceptor.Acceptor { return []*acceptor.Acceptor{c.callers, c.peers} })
 	rec.ValueFunc(recorder.HeadMemory, heads.Used)
 	rec.ValueFunc(recorder.RequestMemory, requests.Used)
+	rec.ValueFunc(recorder.MessageMemory, messages.Used)
 	return c
 }
 
@@ -61,8 +64,8 @@
 }
 
 // peerServer returns the server for other instances.
-func (c *clients) peerServer(newServer func() *http.Server) *http.Server {
-	s := newServer()
+func (c *clients) peerServer(newServer func(bound func(http.Handler) http.Handler) *http.Server) *http.Server {
+	s := newServer(c.messages.Handler)
 	c.peers.Attach(s)
 	return s
 }
--- a/cmd/jujubegated/main.go
+++ b/cmd/jujubegated/main.go
@@ -6,8 +6,10 @@
 	"context"
 	"errors"
 	"fmt"
+	"math"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	"github.com/jessevdk/go-flags"
@@ -62,6 +64,10 @@
 	defer func() { _ = logger.Sync() }()
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
+	if debug.SetMemoryLimit(-1) == math.MaxInt64 {
+		// GOMEMLIMIT is not set.
+		debug.SetMemoryLimit(settings.GoMemoryLimit())
+	}
 	daemon, err := assembler.New(settings, clockwork.NewRealClock(), logger)
 	if err != nil {
 		return fail(exitFailed, err)
--- a/loader/settings.go
+++ b/loader/settings.go
@@ -58,6 +58,15 @@
 	MaxConnections int
 }
 
+// programBytes is the memory of the program besides what Limits bounds.
+const programBytes = 64 << 20
+
+// GoMemoryLimit returns the bytes at which the garbage collector works harder. Without it,
+// garbage takes as much memory as what is in use.
+func (s *Settings) GoMemoryLimit() int64 {
+	return programBytes + int64(s.Limits.AnswerMemoryBytes) + int64(s.Limits.ClientMemoryBytes)
+}
+
 // Lookup are the settings of the callers' address lookup.
 type Lookup struct {
 	ValidFor time.Duration
--- a/measurer/capacitywire.go
+++ b/measurer/capacitywire.go
@@ -64,7 +64,7 @@
 	if err != nil {
 		return "", nil, err
 	}
-	s := h.HTTPServer()
+	s := h.HTTPServer(func(next http.Handler) http.Handler { return next })
 	go func() { _ = s.Serve(countingListener{listener, bytes}) }()
 	return listener.Addr().String(), func() { _ = s.Close() }, nil
 }
--- a/transporter/handler.go
+++ b/transporter/handler.go
@@ -56,22 +56,28 @@
 	}
 }
 
-// HTTPServer returns a server for the Peer service over HTTP/2 without TLS.
-func (h *Handler) HTTPServer() *http.Server {
+// HTTPServer returns a server for the Peer service over HTTP/2 without TLS. Bound is
+// applied to the handler.
+func (h *Handler) HTTPServer(bound func(http.Handler) http.Handler) *http.Server {
 	mux := http.NewServeMux()
 	mux.Handle(wireconnect.NewPeerHandler(h, connect.WithReadMaxBytes(maxMessageBytes)))
 	var protocols http.Protocols
 	protocols.SetUnencryptedHTTP2(true)
 	return &http.Server{
-		Handler:           mux,
+		Handler:           bound(mux),
 		Protocols:         &protocols,
 		ReadHeaderTimeout: controlTimeout,
+		MaxHeaderBytes:    maxPeerHeaderBytes,
 		HTTP2:             &http.HTTP2Config{MaxConcurrentStreams: maxStreams, SendPingTimeout: pingTimeout, PingTimeout: pingTimeout},
 	}
 }
 
-// maxStreams bounds the concurrent calls of one peer.
-const maxStreams = 10000
+const (
+	// maxStreams bounds the concurrent calls of one peer.
+	maxStreams = 10000
+	// maxPeerHeaderBytes bounds the headers of a call.
+	maxPeerHeaderBytes = 16 << 10
+)
 
 // Dispatch runs the sub-requests of a batch and streams their results.
 func (h *Handler) Dispatch(ctx context.Context, request *connect.Request[wire.DispatchRequest],
--- a/transporter/transporter_test.go
+++ b/transporter/transporter_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"net/http"
 	"testing"
 	"time"
 
@@ -23,7 +24,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	s := h.HTTPServer()
+	s := h.HTTPServer(func(next http.Handler) http.Handler { return next })
 	go func() { _ = s.Serve(listener) }()
 	t.Cleanup(func() { _ = s.Close() })
 	return leaser.Member{Instance: "owner", Incarnation: "1", PeerAddress: listener.Addr().String()}
