--- a/abuse/node_test.go
+++ b/abuse/node_test.go
@@ -261,8 +261,9 @@
 	play(t, d, ports.peers, crowd{connections: messageClients, greeting: []byte(peerMessage("", 31<<20) + strings.Repeat("x", 4<<20))})
 }
 
-func TestCompressedPeerMessage(t *testing.T) {
-	d, ports := startNode(t)
+// compressedPeerMessage is a message that is small on the wire and as large as one may be.
+func compressedPeerMessage(t *testing.T) []byte {
+	t.Helper()
 	var message bytes.Buffer
 	w := gzip.NewWriter(&message)
 	// A field of unknown number that is as long as a message may be.
@@ -272,8 +273,48 @@
 	if err := w.Close(); err != nil {
 		t.Fatal(err)
 	}
-	greeting := append([]byte(peerMessage("Content-Encoding: gzip\r\n", message.Len())), message.Bytes()...)
-	play(t, d, ports.peers, crowd{connections: messageClients, greeting: greeting})
+	return append([]byte(peerMessage("Content-Encoding: gzip\r\n", message.Len())), message.Bytes()...)
+}
+
+func TestCompressedPeerMessage(t *testing.T) {
+	d, ports := startNode(t)
+	play(t, d, ports.peers, crowd{connections: messageClients, greeting: compressedPeerMessage(t)})
+}
+
+func TestCrowdsOfAllKinds(t *testing.T) {
+	// Guards against bounds that hold for each kind of client but not for all of them
+	// together.
+	const clients = 300
+	d, ports := startNode(t)
+	d.expectAnswer(t, "before the crowds")
+	start, body := head("GET", standin.LookupPath), head("POST", standin.LookupPath)
+	vars := "GET /debug/vars HTTP/1.1\r\nHost: x\r\n\r\n"
+	crowds := []struct {
+		address string
+		crowd
+	}{
+		{ports.callers, crowd{connections: clients}},
+		{ports.callers, crowd{connections: clients, greeting: []byte(start + fields(headerLimit-len(start)-32, otherField))}},
+		{ports.callers, crowd{connections: clients, greeting: []byte(start + fields(oversizedHead, otherField))}},
+		{ports.callers, crowd{connections: clients, greeting: []byte(body + fmt.Sprintf("Content-Length: %d\r\n\r\n", bodyLimit) + strings.Repeat("x", bodyLimit-1))}},
+		{ports.callers, crowd{connections: clients, greeting: []byte(start + "\r\n"), repeated: repeat(start + "\r\n"), deaf: true}},
+		{ports.peers, crowd{connections: messageClients, greeting: []byte(peerMessage("", 31<<20) + strings.Repeat("x", 4<<20))}},
+		{ports.peers, crowd{connections: messageClients, greeting: compressedPeerMessage(t)}},
+		{ports.metrics, crowd{connections: clients, greeting: []byte(vars), repeated: repeat(vars), deaf: true}},
+		{ports.lookup, crowd{connections: clients, greeting: []byte("GET / HTTP/1.1\r\n" + fields(16<<10, otherField))}},
+	}
+	var running []*runningCrowd
+	for _, c := range crowds {
+		running = append(running, c.start(c.address))
+	}
+	d.observe(crowdTime)
+	d.expectAnswer(t, "during the crowds")
+	d.observe(0)
+	for _, r := range running {
+		r.stop()
+	}
+	d.expectAnswer(t, "after the crowds")
+	d.check(t)
 }
 
 func TestSlowRequestInsideTheLimits(t *testing.T) {
