Give a quarter of the connections to peers

TestResourcesFitIntoMachine has the large deployments and failed for 160 MB before (178 connections for 195 instances). At 1,200 instances a seed still closes idle connections of peers while all start.

--- a/conductor/resources.go
+++ b/conductor/resources.go
@@ -23,8 +23,8 @@
 // The parts of the descriptors that the connections of each server may take. The rest is for
 // connections to targets, peers and the store.
 const (
-	callerShare  = 1.0 / 2
-	peerShare    = 1.0 / 8
+	callerShare  = 3.0 / 8
+	peerShare    = 1.0 / 4
 	lookupShare  = 1.0 / 16
 	readyShare   = 1.0 / 64
 	metricsShare = 1.0 / 64
--- a/conductor/resources_test.go
+++ b/conductor/resources_test.go
@@ -23,11 +23,14 @@
 	cases := []struct {
 		name                  string
 		memoryMB, descriptors int
+		// instances all contact the first seed when they start.
+		instances int
 	}{
-		{"platform's", 284, 4100},
-		{"smallest of the large deployments", 160, 4100},
-		{"strong", 536, 8192},
-		{"few descriptors", 284, 256},
+		{"platform's", 284, 4100, 8},
+		{"smallest of the large deployments", 160, 4100, 195},
+		{"usual one of the large deployments", 184, 4100, 195},
+		{"strong", 536, 8192, 195},
+		{"few descriptors", 284, 256, 8},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
@@ -41,6 +44,9 @@
 				}
 				accepted += n
 			}
+			if n := r.connections(peerShare); n < c.instances-1 {
+				t.Errorf("%d connections of peers for %d instances", n, c.instances)
+			}
 			if accepted > c.descriptors*3/4 {
 				t.Errorf("%d connections are accepted with %d descriptors", accepted, c.descriptors)
 			}
