--- a/abuse/crowd_test.go
+++ b/abuse/crowd_test.go
@@ -62,8 +62,12 @@
 func (rc *runningCrowd) pause(d time.Duration) bool {
 	select {
 	case <-rc.stopped:
-		return true
 	case <-time.After(d):
+	}
+	select {
+	case <-rc.stopped:
+		return true
+	default:
 		return false
 	}
 }
