--- a/abuse/answer_test.go
+++ b/abuse/answer_test.go
@@ -14,13 +14,19 @@
 	if err != nil {
 		return err
 	}
+	_, err = readBody(answer)
+	return err
+}
+
+// readBody returns the body of an answer, or an error unless its status is 200.
+func readBody(answer *http.Response) ([]byte, error) {
 	defer answer.Body.Close()
 	body, err := io.ReadAll(answer.Body)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	if answer.StatusCode != http.StatusOK {
-		return fmt.Errorf("status %d: %s", answer.StatusCode, body)
+		return nil, fmt.Errorf("status %d: %s", answer.StatusCode, body)
 	}
-	return nil
+	return body, nil
 }
--- a/abuse/crowd_test.go
+++ b/abuse/crowd_test.go
@@ -33,6 +33,7 @@
 
 // runningCrowd is a crowd that has been started.
 type runningCrowd struct {
+	// opened counts the connections.
 	opened  atomic.Int64
 	stopped chan struct{}
 	group   sync.WaitGroup
--- a/abuse/gated_test.go
+++ b/abuse/gated_test.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"encoding/json"
 	"fmt"
 	"net"
 	"net/http"
@@ -76,15 +75,8 @@
 	if err != nil {
 		return err
 	}
-	defer answer.Body.Close()
-	var body map[string]any
-	if err := json.NewDecoder(answer.Body).Decode(&body); err != nil {
-		return err
-	}
-	if answer.StatusCode != http.StatusOK {
-		return fmt.Errorf("status %d: %v", answer.StatusCode, body)
-	}
-	return nil
+	_, err = readBody(answer)
+	return err
 }
 
 func gatedHead(path string) string {
--- a/abuse/node_test.go
+++ b/abuse/node_test.go
@@ -72,14 +72,10 @@
 	if err != nil {
 		return err
 	}
-	defer answer.Body.Close()
-	body, err := io.ReadAll(answer.Body)
+	body, err := readBody(answer)
 	if err != nil {
 		return err
 	}
-	if answer.StatusCode != http.StatusOK {
-		return fmt.Errorf("status %d: %s", answer.StatusCode, body)
-	}
 	return standin.CheckSingle(id, answer.Header, body)
 }
 
--- a/acceptor/acceptor.go
+++ b/acceptor/acceptor.go
@@ -121,8 +121,9 @@
 	}
 }
 
-// admit returns the connection of an accepted socket. If all connections are taken, it
-// closes the one that can best be spared; if there is none, it closes the new one, of which no byte has been read.
+// admit returns the connection of an accepted socket. If all connections are in use, it
+// closes the one that can best be spared. If there is none, it closes the new one, of which
+// no byte has been read, and returns nil.
 func (a *Acceptor) admit(conn net.Conn) *Conn {
 	now := a.settings.Clock.Now()
 	c := &Conn{Conn: conn, acceptor: a}
--- a/acceptor/report.go
+++ b/acceptor/report.go
@@ -88,6 +88,6 @@
 	}
 	r.mu.Unlock()
 	if due {
-		r.log.Warn("acceptor: clients were turned away", zap.String("Reason", ReasonNames[reason]), zap.String("Server", server), zap.Int("Count", n))
+		r.log.Warn("acceptor: clients rejected or disconnected", zap.String("Reason", ReasonNames[reason]), zap.String("Server", server), zap.Int("Count", n))
 	}
 }
