Show that versions of the configuration fill the memory of all instances

Cause: the replicator keeps the latest 1,024 changes of a kind with their whole objects, whatever their size and age, and the configuration is one object of up to 1 MB.

--- a/review/_cases-3/backend.go
+++ b/review/_cases-3/backend.go
@@ -53,7 +53,7 @@
 // backend is a stand-in for one back end.
 type backend struct {
 	shape
-	id, service, zone string
+	id, service, zone, version string
 	// away is until when requests are turned away with Retry-After. mu guards it.
 	away time.Time
 
@@ -265,7 +265,7 @@
 func (b *backend) entry(state string) map[string]any {
 	b.sequence++
 	return map[string]any{
-		"service": b.service, "address": b.address, "zone": b.zone, "version": "v1", "slots": b.slots, "state": state,
+		"service": b.service, "address": b.address, "zone": b.zone, "version": b.version, "slots": b.slots, "state": state,
 		"warmup_left_ms": 0, "sequence": b.sequence, "born": b.born,
 	}
 }
--- a/review/_cases-3/main.go
+++ b/review/_cases-3/main.go
@@ -15,9 +15,10 @@
 )
 
 var cases = map[string]func(w *world) (bool, error){
-	"poison": poison,
-	"memory": memory,
-	"crowd":  crowd,
+	"poison":  poison,
+	"memory":  memory,
+	"crowd":   crowd,
+	"rollout": rollout,
 }
 
 func main() { os.Exit(run()) }
--- a/review/_cases-3/memory.go
+++ b/review/_cases-3/memory.go
@@ -16,8 +16,8 @@
 		fleetSize  = 3
 		routesN    = 5300
 		valueBytes = 1 << 20
-		every      = 280 * time.Millisecond
-		lasts      = 96 * time.Second
+		every      = 220 * time.Millisecond
+		lasts      = 98 * time.Second
 		perS       = 120
 		mostLost   = 3
 	)
--- a/review/_cases-3/world.go
+++ b/review/_cases-3/world.go
@@ -109,9 +109,14 @@
 
 // addBackends starts back ends of a service and writes their entries.
 func (w *world) addBackends(service string, n int, sh shape) error {
+	return w.addVersion(service, "v1", n, sh)
+}
+
+// addVersion starts back ends of a version of a service and writes their entries.
+func (w *world) addVersion(service, version string, n int, sh shape) error {
 	for i := range n {
 		b := &backend{
-			shape: sh, id: fmt.Sprintf("i-%s-%d", service, i), service: service, zone: fmt.Sprintf("zone-%d", i%2), world: w, born: time.Now().UnixMilli(),
+			shape: sh, id: fmt.Sprintf("i-%s-%s-%d", service, version, i), service: service, version: version, zone: fmt.Sprintf("zone-%d", i%2), world: w, born: time.Now().UnixMilli(),
 		}
 		if err := b.start(); err != nil {
 			return err
