Show that restarts give the requests for a version on trial out a second time

Cause: each instance counts in memory what it has sent to a version on trial, and begins with nothing spent after a restart.

--- a/review/_cases-3/main.go
+++ b/review/_cases-3/main.go
@@ -19,6 +19,7 @@
 	"memory":  memory,
 	"crowd":   crowd,
 	"rollout": rollout,
+	"options": options,
 }
 
 func main() { os.Exit(run()) }
