Show that clients which ask OPTIONS * keep all others out

Cause: net/http answers OPTIONS * without the handler by which the acceptor learns that a body follows. The connection then waits for the body without a deadline, in a state in which it is never closed for another one.

--- a/review/_cases-3/main.go
+++ b/review/_cases-3/main.go
@@ -19,7 +19,7 @@
 	"memory":  memory,
 	"crowd":   crowd,
 	"rollout": rollout,
-	"options": options,
+	"hang":    hang,
 }
 
 func main() { os.Exit(run()) }
