Give each run of a case of the third review addresses of its own

Cause: one of 11 scripts that started at once could not run, as an instance was not ready. Suspected: the same ports, drawn at random.

--- a/review/_cases-3/world.go
+++ b/review/_cases-3/world.go
@@ -174,7 +174,10 @@
 	if err != nil {
 		return err
 	}
-	address := func(i int) string { return "127.0.0.1:" + strconv.Itoa(ports[i]) }
+	// Runs at the same time get addresses of their own.
+	address := func(i int) string {
+		return fmt.Sprintf("127.%d.%d.1:%d", 1+os.Getpid()/250%250, 1+os.Getpid()%250, ports[i])
+	}
 	var seeds []string
 	for i := range min(n, 3) {
 		seeds = append(seeds, strconv.Quote(address(5*i+3)))
